--- a/lagoonlatch/cli.py
+++ b/lagoonlatch/cli.py
@@ -43,6 +43,7 @@
 
 PLACE_BY_COMMAND = {
     "serve": "lagoonlatch.serving:serve",
+    "entry": "lagoonlatch.entry.process:entry",
     "check": "lagoonlatch.operators.commands:check",
     "apply": "lagoonlatch.operators.changes:apply",
     "show": "lagoonlatch.operators.changes:show",
--- /dev/null
+++ b/lagoonlatch/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon of an entry VM on the users' platform."""
--- /dev/null
+++ b/lagoonlatch/entry/attempts.py
@@ -0,0 +1,115 @@
+"""One attempt at one upstream, and what it tells of the upstream."""
+
+from __future__ import annotations
+
+import gevent
+import structlog
+
+from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
+from lagoonlatch.entry.messages import (
+    Answered,
+    Failing,
+    NotRun,
+    Outcome,
+    Unknown,
+    UpstreamAnswer,
+    UpstreamRequest,
+)
+from lagoonlatch.entry.pool import ConnectionPool
+from lagoonlatch.entry.probes import Prober
+from lagoonlatch.steering.admission import Admission
+from lagoonlatch.steering.upstreams import Fleet, UpstreamState
+
+_FIRST_FAILURE = 500
+_LOG = structlog.get_logger(__name__)
+
+
+class Attempts:
+    """Sends requests to upstreams over kept connections."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        pool: ConnectionPool,
+        prober: Prober,
+        admission: Admission,
+        clock: Clock,
+    ) -> None:
+        self._fleet = fleet
+        self._pool = pool
+        self._prober = prober
+        self._admission = admission
+        self._clock = clock
+
+    def run(
+        self, upstream: UpstreamState, request: UpstreamRequest, time_left: Millis
+    ) -> Outcome:
+        """Send `request` and return its outcome within `time_left`."""
+        started = self._clock.now()
+        upstream.in_flight += 1
+        try:
+            outcome = self._exchange(upstream, request, time_left)
+        finally:
+            upstream.in_flight -= 1
+        self._learn(upstream, outcome, self._clock.now() - started)
+        return outcome
+
+    def _exchange(
+        self, upstream: UpstreamState, request: UpstreamRequest, time_left: Millis
+    ) -> Outcome:
+        deadline = self._clock.now() + time_left
+        if self._pool.has_broken(upstream.record):
+            # It closed connections before their time: it may have started anew.
+            self._pool.drop(upstream.record.id)
+            self._prober.suspect(upstream, "closed kept connections")
+            return NotRun("upstream under suspicion", reached=False)
+        try:
+            connection = self._pool.take(upstream.record, time_left)
+        except OSError as error:
+            reason = error.strerror or type(error).__name__
+            self._prober.suspect(upstream, f"no connection: {reason}")
+            return NotRun(reason, reached=False)
+        timer = gevent.Timeout(
+            max(deadline - self._clock.now(), 1.0) / MILLIS_PER_SECOND
+        )
+        try:
+            with timer:
+                outcome = connection.exchange(request, deadline - self._clock.now())
+        except gevent.Timeout as error:
+            if error is not timer:
+                raise
+            return Unknown(Failing.OUT_OF_TIME, "no whole answer in time")
+        self._pool.put_back(upstream.record, connection)
+        return outcome
+
+    def _learn(
+        self, upstream: UpstreamState, outcome: Outcome, duration: Millis
+    ) -> None:
+        match outcome:
+            case Answered(answer):
+                self._learn_load(upstream, answer)
+                if answer.status < _FIRST_FAILURE:
+                    upstream.note_success()
+                    self._admission.note_duration(upstream.record.service, duration)
+                else:
+                    upstream.note_failure()
+            case NotRun(misdirected=True):
+                self._fleet.remove(upstream.record.id)
+                self._pool.drop(upstream.record.id)
+                _LOG.info("upstream_replaced", upstream=upstream.record.id)
+            case NotRun(reached=True, answer=answer):
+                upstream.note_failure()
+                if answer is not None:
+                    self._learn_load(upstream, answer)
+            case Unknown(how=Failing.RESET | Failing.CLOSED, reason=reason):
+                upstream.note_failure()
+                if not self._pool.has_living(upstream.record):
+                    self._prober.suspect(upstream, reason)
+            case Unknown():
+                upstream.note_failure()
+
+    def _learn_load(self, upstream: UpstreamState, answer: UpstreamAnswer) -> None:
+        load = answer.fields.load
+        if load is not None:
+            # Its count holds this VM's other requests, and may hold this one.
+            upstream.report_load(load.running + load.waiting, upstream.in_flight)
--- /dev/null
+++ b/lagoonlatch/entry/doors.py
@@ -0,0 +1,63 @@
+"""The calls that ask a VM about itself: look-up, readiness, metrics."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from gevent.pywsgi import WSGIServer
+
+from lagoonlatch.platform.directory import (
+    LOOKUP_PATH,
+    READINESS_PATH,
+    encode_lookup_answer,
+    read_lookup_query,
+)
+from lagoonlatch.steering.lookup import Lookup
+
+Responder = Callable[[dict[str, Any]], tuple[str, str, bytes]]
+"""Takes a WSGI environment, returns status line, content type and body."""
+
+
+def serve_lookups(address: str, lookup: Lookup) -> WSGIServer:
+    """Start answering callers that ask which VMs to use."""
+
+    def respond(environ: dict[str, Any]) -> tuple[str, str, bytes]:
+        if environ["PATH_INFO"] != LOOKUP_PATH:
+            return "404 Not Found", "text/plain", b""
+        query = read_lookup_query(environ.get("QUERY_STRING", ""))
+        found = lookup.find(query.region, query.data_centre)
+        if not found:
+            return "503 Service Unavailable", "text/plain", b"no VM is ready"
+        body = encode_lookup_answer(found, lookup.ttl)
+        return "200 OK", "application/json", body
+
+    return _serve(address, respond)
+
+
+def serve_readiness(address: str, is_ready: Callable[[], bool]) -> WSGIServer:
+    """Start answering the platform's readiness checks."""
+
+    def respond(environ: dict[str, Any]) -> tuple[str, str, bytes]:
+        if environ["PATH_INFO"] != READINESS_PATH:
+            return "404 Not Found", "text/plain", b""
+        if is_ready():
+            return "200 OK", "text/plain", b"ready"
+        return "503 Service Unavailable", "text/plain", b"not ready"
+
+    return _serve(address, respond)
+
+
+def _serve(address: str, respond: Responder) -> WSGIServer:
+    def application(
+        environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        status, content_type, body = respond(environ)
+        headers = [("Content-Type", content_type), ("Content-Length", str(len(body)))]
+        start_response(status, headers)
+        return [body]
+
+    host, _, port = address.rpartition(":")
+    server = WSGIServer((host, int(port)), application, log=None, error_log=None)
+    server.start()
+    return server
--- /dev/null
+++ b/lagoonlatch/entry/exchange.py
@@ -0,0 +1,279 @@
+"""One request and its answer on a connection to an upstream."""
+
+from __future__ import annotations
+
+import errno
+from collections.abc import Iterator
+
+import h11
+from gevent import socket
+
+from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
+from lagoonlatch.entry.messages import (
+    Answered,
+    Failing,
+    NotRun,
+    Outcome,
+    Unknown,
+    UpstreamAnswer,
+    UpstreamRequest,
+)
+from lagoonlatch.platform.headers import is_stamp, read_answer_fields
+
+CONNECT_TIMEOUT: Millis = 400.0
+"""Some round trips between regions; a lost opening packet is not waited for."""
+
+UNACKNOWLEDGED_TIMEOUT: Millis = 800.0
+"""A peer that acknowledges nothing for so long is out of reach; several round trips
+and one retransmission between regions fit."""
+
+DEFAULT_KEEP_ALIVE: Millis = 4_000.0
+"""Idle time of a connection whose upstream tells none."""
+
+KEEP_ALIVE_MARGIN: Millis = 1_500.0
+"""A connection so near its idle limit is not used again."""
+
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+"""Largest answer that is passed on; it is held in memory until it is whole."""
+
+_CHUNK = 64 * 1024
+_MISDIRECTED = 421
+_FIRST_SUCCESS, _FIRST_REDIRECT = 200, 300
+
+
+class UpstreamConnection:
+    """A connection that carries one request at a time."""
+
+    def __init__(self, sock: socket.socket, clock: Clock) -> None:
+        self._sock = sock
+        self._clock = clock
+        self._idle_since = clock.now()
+        self._keep_alive = DEFAULT_KEEP_ALIVE
+        self.is_reusable = True
+
+    @classmethod
+    def open(cls, address: str, timeout: Millis, clock: Clock) -> UpstreamConnection:
+        """Connect to ``IP:port``.
+
+        Raises
+        ------
+        OSError
+            If there is no connection within `timeout`.
+        """
+        host, _, port = address.rpartition(":")
+        seconds = max(min(timeout, CONNECT_TIMEOUT), 1.0) / MILLIS_PER_SECOND
+        sock = socket.create_connection((host, int(port)), timeout=seconds)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(UNACKNOWLEDGED_TIMEOUT)
+        )
+        return cls(sock, clock)
+
+    def idle_time(self) -> Millis:
+        """Return how long it has been idle."""
+        return self._clock.now() - self._idle_since
+
+    def is_expired(self) -> bool:
+        """Return whether the upstream may be about to close it."""
+        return self.idle_time() > max(self._keep_alive - KEEP_ALIVE_MARGIN, 0.0)
+
+    def is_quiet(self) -> bool:
+        """Return whether nothing has arrived on it, not even its end."""
+        return not _has_arrived(self._sock)
+
+    def close(self) -> None:
+        """Close it, whatever is under way."""
+        self.is_reusable = False
+        self._sock.close()
+
+    def exchange(self, request: UpstreamRequest, time_left: Millis) -> Outcome:
+        """Send `request` and return its outcome.
+
+        The connection is closed unless `is_reusable` holds afterwards.
+        """
+        finished = False
+        try:
+            outcome = self._exchange(request, self._clock.now() + time_left)
+            finished = True
+            return outcome
+        finally:
+            self._idle_since = self._clock.now()
+            if not finished or not self.is_reusable:
+                self.close()
+
+    def _exchange(self, request: UpstreamRequest, deadline: Millis) -> Outcome:
+        sender = _Sender(self._sock, request)
+        try:
+            self._sock.settimeout(self._seconds_until(deadline))
+            if not sender.send():
+                self.is_reusable = False
+            return self._judge(self._receive(request, deadline))
+        except TimeoutError as error:
+            self.is_reusable = False
+            if error.errno == errno.ETIMEDOUT:
+                return Unknown(Failing.RESET, "peer acknowledges nothing")
+            return Unknown(Failing.OUT_OF_TIME, "no whole answer in time")
+        except OSError as error:
+            self.is_reusable = False
+            reason = error.strerror or type(error).__name__
+            if not sender.has_sent:
+                return NotRun(reason, reached=False)
+            return Unknown(Failing.RESET, reason)
+        except h11.RemoteProtocolError as error:
+            self.is_reusable = False
+            return Unknown(Failing.SPOILT, str(error))
+        except _ClosedError as error:
+            self.is_reusable = False
+            return Unknown(Failing.CLOSED, str(error))
+
+    def _seconds_until(self, deadline: Millis) -> float:
+        return max(deadline - self._clock.now(), 1.0) / MILLIS_PER_SECOND
+
+    def _receive(self, request: UpstreamRequest, deadline: Millis) -> UpstreamAnswer:
+        """Return the answer that names the request; others are skipped."""
+        received = b""
+        while True:
+            parser = _parser_awaiting_answer(request)
+            if received:
+                parser.receive_data(received)
+            answer = _Assembler()
+            for event in self._events(parser, deadline):
+                answer.add(event)
+            received, _ = parser.trailing_data
+            whole = answer.whole()
+            if whole.fields.request_id == request.request_id:
+                self._note_reuse(parser, whole, bool(received))
+                return whole
+            if parser.their_state is not h11.DONE:
+                raise _ClosedError("closed after an answer to another request")
+
+    def _events(self, parser: h11.Connection, deadline: Millis) -> Iterator[h11.Event]:
+        while True:
+            event = parser.next_event()
+            if event is h11.NEED_DATA:
+                self._sock.settimeout(self._seconds_until(deadline))
+                parser.receive_data(self._sock.recv(_CHUNK))
+                continue
+            if isinstance(event, h11.ConnectionClosed):
+                raise _ClosedError("closed without an answer")
+            yield event
+            if isinstance(event, h11.EndOfMessage):
+                return
+
+    def _note_reuse(
+        self, parser: h11.Connection, answer: UpstreamAnswer, has_extra: bool
+    ) -> None:
+        if has_extra or parser.their_state is not h11.DONE:
+            self.is_reusable = False
+        if answer.fields.keep_alive is not None:
+            self._keep_alive = answer.fields.keep_alive
+
+    def _judge(self, answer: UpstreamAnswer) -> Outcome:
+        if answer.status == _MISDIRECTED:
+            self.is_reusable = False
+            return NotRun("another upstream has the address", True, True, answer)
+        if answer.fields.not_run:
+            return NotRun(f"turned away with {answer.status}", True, False, answer)
+        is_success = _FIRST_SUCCESS <= answer.status < _FIRST_REDIRECT
+        if is_success and (not answer.has_stamp or _is_encoded(answer)):
+            self.is_reusable = False
+            return Unknown(Failing.SPOILT, "success without the upstream's stamp")
+        return Answered(answer)
+
+
+class _ClosedError(Exception):
+    """The upstream closed the connection before the answer was whole."""
+
+
+class _Sender:
+    """Sends one request and knows whether any byte of it was handed over."""
+
+    def __init__(self, sock: socket.socket, request: UpstreamRequest) -> None:
+        self._sock = sock
+        self._request = request
+        self.has_sent = False
+
+    def send(self) -> bool:
+        """Send all; return False if the upstream answered before the end."""
+        view = memoryview(_encode(self._request))
+        while view:
+            if self.has_sent and _has_arrived(self._sock):
+                return False
+            count = self._sock.send(view[:_CHUNK])
+            self.has_sent = self.has_sent or count > 0
+            view = view[count:]
+        return True
+
+
+class _Assembler:
+    """Collects the parts of one answer."""
+
+    def __init__(self) -> None:
+        self._head: h11.Response | None = None
+        self._body: list[bytes] = []
+        self._size = 0
+
+    def add(self, event: h11.Event) -> None:
+        if isinstance(event, h11.Response):
+            self._head = event
+        elif isinstance(event, h11.Data):
+            self._size += len(event.data)
+            if self._size > MAX_ANSWER_BYTES:
+                raise _ClosedError(f"answer of over {MAX_ANSWER_BYTES} bytes")
+            self._body.append(bytes(event.data))
+
+    def whole(self) -> UpstreamAnswer:
+        assert self._head is not None, "an answer ends after its head"
+        lower = [(bytes(name), bytes(value)) for name, value in self._head.headers]
+        return UpstreamAnswer(
+            status=self._head.status_code,
+            headers=[(bytes(n), bytes(v)) for n, v in self._head.headers.raw_items()],
+            body=b"".join(self._body),
+            fields=read_answer_fields(lower),
+            has_stamp=any(is_stamp(name) for name, _ in lower),
+        )
+
+
+def _has_arrived(sock: socket.socket) -> bool:
+    """Return whether bytes, the end or an error of the connection can be read."""
+    timeout = sock.gettimeout()
+    sock.settimeout(0.0)
+    try:
+        sock.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    finally:
+        sock.settimeout(timeout)
+    return True
+
+
+def _is_encoded(answer: UpstreamAnswer) -> bool:
+    return any(name.lower() == b"content-encoding" for name, _ in answer.headers)
+
+
+def _head(request: UpstreamRequest) -> h11.Request:
+    headers = list(request.headers)
+    if request.has_body:
+        headers.append((b"Content-Length", str(len(request.body)).encode()))
+    return h11.Request(method=request.method, target=request.target, headers=headers)
+
+
+def _encode(request: UpstreamRequest) -> bytes:
+    encoder = h11.Connection(h11.CLIENT)
+    parts = [encoder.send(_head(request))]
+    if request.body:
+        parts.append(encoder.send(h11.Data(data=request.body)))
+    parts.append(encoder.send(h11.EndOfMessage()))
+    return b"".join(part for part in parts if part)
+
+
+def _parser_awaiting_answer(request: UpstreamRequest) -> h11.Connection:
+    """Return a parser that expects the answer to `request`, which is being sent."""
+    parser = h11.Connection(h11.CLIENT)
+    parser.send(_head(request))
+    if request.body:
+        parser.send(h11.Data(data=request.body))
+    parser.send(h11.EndOfMessage())
+    return parser
--- /dev/null
+++ b/lagoonlatch/entry/facts.py
@@ -0,0 +1,181 @@
+"""What the store says: configuration, evacuations, upstreams and VMs."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+import structlog
+from returns.result import Failure, Success
+
+from lagoonlatch.clock import Clock, Millis
+from lagoonlatch.platform.kv import Change
+from lagoonlatch.platform.operator_keys import (
+    CONFIGURATION_KEY,
+    decode_configuration,
+    evacuated_data_centre,
+)
+from lagoonlatch.platform.registrations import (
+    ROSTER_PREFIX,
+    UPSTREAM_PREFIX,
+    VM_PREFIX,
+    decode_upstream,
+    decode_vm,
+)
+from lagoonlatch.platform.store import Entry
+from lagoonlatch.steering.model import TrafficRules, VmRecord
+from lagoonlatch.steering.upstreams import Fleet
+
+_LOG = structlog.get_logger(__name__)
+
+LAPSE_GRACE: Millis = 2_300.0
+"""Upstreams whose entries lapsed during an outage are back within two seconds of its
+end."""
+
+
+class Facts:
+    """The newest facts, and those told of changes.
+
+    Attributes
+    ----------
+    rules : TrafficRules or None
+        None until a configuration is known.
+    vms_by_id : dict of str to VmRecord
+        The VMs with a live entry.
+    roster : set of str
+        Ids of all VMs that share what is divided among VMs.
+    """
+
+    def __init__(self, fleet: Fleet, clock: Clock) -> None:
+        self.fleet = fleet
+        self.rules: TrafficRules | None = None
+        self.vms_by_id: dict[str, VmRecord] = {}
+        self.roster: set[str] = set()
+        self._clock = clock
+        self._evacuated: set[str] = set()
+        self._on_rules: list[Callable[[TrafficRules], None]] = []
+        self._on_upstream_gone: list[Callable[[str], None]] = []
+        self._has_read = False
+        self._revision_by_key: dict[str, int] = {}
+        self._lapsed_until: Millis = 0.0
+        self._missing_ids: set[str] = set()
+
+    def on_rules(self, listener: Callable[[TrafficRules], None]) -> None:
+        """Call `listener` with each new configuration."""
+        self._on_rules.append(listener)
+
+    def on_upstream_gone(self, listener: Callable[[str], None]) -> None:
+        """Call `listener` with the id of each upstream that is gone."""
+        self._on_upstream_gone.append(listener)
+
+    def note_outage_end(self) -> None:
+        """Hold missing upstreams for a while, since entries lapse in an outage."""
+        self._lapsed_until = self._clock.now() + LAPSE_GRACE
+
+    def take_snapshot(self, entries: Iterable[Entry]) -> None:
+        """Replace all facts by `entries`."""
+        present = {entry.key for entry in entries}
+        for key in [key for key in self._revision_by_key if key not in present]:
+            self._remove(key)
+        for entry in entries:
+            if entry.revision > self._revision_by_key.get(entry.key, 0):
+                self._write(entry.key, entry.value, entry.revision)
+        self._has_read = True
+
+    def take_changes(self, changes: Iterable[Change]) -> None:
+        """Apply changes in their order."""
+        for change in changes:
+            if change.value is None:
+                self._remove(change.key)
+            elif change.revision > self._revision_by_key.get(change.key, 0):
+                self._write(change.key, change.value, change.revision)
+
+    def settle(self) -> None:
+        """Drop the upstreams that stayed missing after an outage."""
+        if self._missing_ids and self._clock.now() >= self._lapsed_until:
+            missing, self._missing_ids = self._missing_ids, set()
+            for upstream_id in missing:
+                self._drop_upstream(upstream_id)
+
+    def _write(self, key: str, value: bytes, revision: int) -> None:
+        self._revision_by_key[key] = revision
+        if key == CONFIGURATION_KEY:
+            self._write_rules(value)
+        elif (data_centre := evacuated_data_centre(key)) is not None:
+            self._set_evacuated(self._evacuated | {data_centre})
+        elif key.startswith(UPSTREAM_PREFIX):
+            self._write_upstream(key, value)
+        elif key.startswith(VM_PREFIX):
+            self._write_vm(key, value)
+        elif key.startswith(ROSTER_PREFIX):
+            self.roster.add(key.removeprefix(ROSTER_PREFIX))
+
+    def _remove(self, key: str) -> None:
+        self._revision_by_key.pop(key, None)
+        if (data_centre := evacuated_data_centre(key)) is not None:
+            self._set_evacuated(self._evacuated - {data_centre})
+        elif key.startswith(UPSTREAM_PREFIX):
+            upstream_id = key.removeprefix(UPSTREAM_PREFIX)
+            if self._clock.now() < self._lapsed_until:
+                self._missing_ids.add(upstream_id)
+            else:
+                self._drop_upstream(upstream_id)
+        elif key.startswith(VM_PREFIX):
+            vm = key.removeprefix(VM_PREFIX)
+            if self.vms_by_id.pop(vm, None) is not None:
+                _LOG.info("vm_gone", subject=vm)
+        elif key.startswith(ROSTER_PREFIX):
+            self.roster.discard(key.removeprefix(ROSTER_PREFIX))
+
+    def _write_rules(self, value: bytes) -> None:
+        decoded = decode_configuration(value)
+        if isinstance(decoded, Failure):
+            _LOG.warning("configuration_unreadable", why=decoded.failure())
+            return
+        rules = decoded.unwrap()
+        if self.rules is not None and rules.version <= self.rules.version:
+            return
+        self.rules = rules
+        self.fleet.configure(rules.services_by_id)
+        _LOG.info("configuration_in_force", version=rules.version)
+        for listener in self._on_rules:
+            listener(rules)
+
+    def _set_evacuated(self, data_centres: set[str]) -> None:
+        self._evacuated = data_centres
+        self.fleet.evacuate(frozenset(data_centres))
+        _LOG.info("evacuations", data_centres=sorted(data_centres))
+
+    def _write_upstream(self, key: str, value: bytes) -> None:
+        decoded = decode_upstream(key, value)
+        upstream_id = key.removeprefix(UPSTREAM_PREFIX)
+        self._missing_ids.discard(upstream_id)
+        if isinstance(decoded, Success):
+            record = decoded.unwrap()
+            self.fleet.put(record, was_running=not self._has_read)
+            _LOG.info(
+                "upstream",
+                upstream=upstream_id,
+                service=record.service,
+                draining=record.is_draining,
+                cold_ms=record.cold_left,
+            )
+            return
+        _LOG.warning("upstream_entry_odd", upstream=upstream_id, why=decoded.failure())
+        self._drop_upstream(upstream_id)
+
+    def _drop_upstream(self, upstream_id: str) -> None:
+        if self.fleet.find(upstream_id) is None:
+            return
+        self.fleet.remove(upstream_id)
+        _LOG.info("upstream_gone", upstream=upstream_id)
+        for listener in self._on_upstream_gone:
+            listener(upstream_id)
+
+    def _write_vm(self, key: str, value: bytes) -> None:
+        decoded = decode_vm(key, value)
+        if isinstance(decoded, Failure):
+            _LOG.warning("vm_entry_odd", why=decoded.failure())
+            return
+        record = decoded.unwrap()
+        self.vms_by_id[record.id] = record
+        _LOG.info("vm", subject=record.id, ready=record.is_ready, run=record.run)
--- /dev/null
+++ b/lagoonlatch/entry/handling.py
@@ -0,0 +1,282 @@
+"""The way of one request: checks, a place, attempts, the final answer."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from http import HTTPStatus
+
+import structlog
+
+from lagoonlatch.clock import Clock, Millis
+from lagoonlatch.entry.attempts import Attempts
+from lagoonlatch.entry.facts import Facts
+from lagoonlatch.entry.messages import (
+    CONNECTION_FIELDS,
+    Answered,
+    CallerAnswer,
+    CallerRequest,
+    Failing,
+    NotRun,
+    Outcome,
+    Unknown,
+    UpstreamAnswer,
+    UpstreamRequest,
+)
+from lagoonlatch.platform.headers import (
+    is_own_request_field,
+    own_request_fields,
+    retry_after,
+)
+from lagoonlatch.steering.admission import Admission
+from lagoonlatch.steering.allowances import Allowances
+from lagoonlatch.steering.model import Organisation, Route
+from lagoonlatch.steering.placement import Place, Placement, Wish
+from lagoonlatch.steering.repeats import RepeatBudget
+from lagoonlatch.steering.splits import Splitter
+
+UNREADY_RETRY: Millis = 1_000.0
+"""When to come back to a VM that knows no configuration yet."""
+
+NO_UPSTREAM_RETRY: Millis = 500.0
+"""When to come back if no upstream may take the request."""
+
+_LOG = structlog.get_logger(__name__)
+_RETRIED_STATUSES = frozenset({500, 502, 503, 504})
+
+
+@dataclass
+class _Journey:
+    """What is known of one request on its way."""
+
+    request: CallerRequest
+    route: Route
+    organisation: Organisation | None
+    service: str
+    regions: frozenset[str]
+    deadline: Millis
+    tried: set[str] = field(default_factory=set)
+    reached: int = 0
+    may_have_run: bool = False
+    failed_answer: UpstreamAnswer | None = None
+    last: str = ""
+
+
+class RequestHandler:
+    """Answers the requests of callers."""
+
+    def __init__(
+        self,
+        facts: Facts,
+        placement: Placement,
+        admission: Admission,
+        allowances: Allowances,
+        repeats: RepeatBudget,
+        attempts: Attempts,
+        clock: Clock,
+    ) -> None:
+        self._facts = facts
+        self._placement = placement
+        self._admission = admission
+        self._allowances = allowances
+        self._repeats = repeats
+        self._attempts = attempts
+        self._clock = clock
+        self._splitter = Splitter()
+
+    def handle(self, request: CallerRequest) -> CallerAnswer:
+        """Return the final answer to a request."""
+        rules = self._facts.rules
+        if rules is None:
+            return _refusal(UNREADY_RETRY)
+        route = rules.find_route(request.host, request.path)
+        if route is None:
+            return CallerAnswer(status=HTTPStatus.NOT_FOUND)
+        organisation: Organisation | None = None
+        if not route.is_open:
+            organisation = rules.organisation_by_key.get(request.fields.key or "")
+            if organisation is None:
+                return CallerAnswer(status=HTTPStatus.UNAUTHORIZED)
+        return self._serve(request, route, organisation)
+
+    def _serve(
+        self, request: CallerRequest, route: Route, organisation: Organisation | None
+    ) -> CallerAnswer:
+        time_left = request.fields.time_left
+        allowed = route.timeout if time_left is None else min(time_left, route.timeout)
+        journey = _Journey(
+            request=request,
+            route=route,
+            organisation=organisation,
+            service=self._splitter.choose(route),
+            regions=_homes(route, organisation),
+            deadline=request.received + allowed,
+        )
+        if organisation is not None:
+            wait = self._allowances.take(organisation.id)
+            if wait is not None:
+                self._log(journey, HTTPStatus.TOO_MANY_REQUESTS, "over allowance")
+                return CallerAnswer(
+                    status=HTTPStatus.TOO_MANY_REQUESTS, headers=[retry_after(wait)]
+                )
+        self._repeats.note_request(journey.service)
+        answer = self._travel(journey)
+        if organisation is not None and not journey.reached:
+            self._allowances.give_back(organisation.id)
+        return answer
+
+    def _travel(self, journey: _Journey) -> CallerAnswer:
+        while True:
+            left = journey.deadline - self._clock.now()
+            if left <= 0.0:
+                return self._give_up(journey, "out of time")
+            place = self._placement.choose(
+                Wish(
+                    service=journey.service,
+                    affinity=journey.request.fields.affinity,
+                    regions=journey.regions,
+                    tried=frozenset(journey.tried),
+                )
+            )
+            if place is None:
+                return self._give_up(journey, "no upstream")
+            wait = self._admission.refuse_for(journey.route, place, left)
+            if wait is not None:
+                return self._give_up(journey, "no room", wait)
+            if journey.reached and not self._repeats.take(journey.service):
+                return self._give_up(journey, "no repeats left")
+            answer = self._attempt(journey, place, left)
+            if answer is not None:
+                return answer
+
+    def _attempt(
+        self, journey: _Journey, place: Place, left: Millis
+    ) -> CallerAnswer | None:
+        """Try one upstream; return the final answer unless another may be tried."""
+        journey.request.may_cancel = journey.route.is_idempotent
+        upstream = place.upstream
+        journey.tried.add(upstream.record.id)
+        outcome = self._attempts.run(
+            upstream, _to_upstream(journey, upstream.record.id, left), left
+        )
+        journey.last = f"{upstream.record.id}: {_describe(outcome)}"
+        if not (isinstance(outcome, NotRun) and not outcome.reached):
+            journey.reached += 1
+        match outcome:
+            case Answered(answer):
+                return self._take_answer(journey, answer)
+            case NotRun():
+                if journey.reached < max(journey.route.max_attempts, 1):
+                    return None
+                return self._give_up(journey, "turned away")
+            case Unknown(how=how):
+                journey.may_have_run = True
+                if self._may_repeat(journey) and how is not Failing.OUT_OF_TIME:
+                    return None
+                return self._give_up(journey, "no answer")
+
+    def _take_answer(
+        self, journey: _Journey, answer: UpstreamAnswer
+    ) -> CallerAnswer | None:
+        journey.may_have_run = True
+        if answer.status in _RETRIED_STATUSES and self._may_repeat(journey):
+            journey.failed_answer = answer
+            return None
+        if answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+            self._log(journey, answer.status, "upstream failed")
+        return _pass_on(answer)
+
+    def _may_repeat(self, journey: _Journey) -> bool:
+        return journey.route.is_idempotent and (
+            journey.reached < journey.route.max_attempts
+        )
+
+    def _give_up(
+        self, journey: _Journey, reason: str, wait: Millis = NO_UPSTREAM_RETRY
+    ) -> CallerAnswer:
+        if journey.failed_answer is not None:
+            self._log(journey, journey.failed_answer.status, reason)
+            return _pass_on(journey.failed_answer)
+        if not journey.may_have_run:
+            self._log(journey, HTTPStatus.SERVICE_UNAVAILABLE, reason)
+            return _refusal(wait)
+        is_late = self._clock.now() >= journey.deadline
+        status = HTTPStatus.GATEWAY_TIMEOUT if is_late else HTTPStatus.BAD_GATEWAY
+        self._log(journey, status, reason)
+        return CallerAnswer(status=status)
+
+    def _log(self, journey: _Journey, status: int, reason: str) -> None:
+        request = journey.request
+        _LOG.info(
+            "request_failed",
+            request=request.fields.request_id.decode("latin-1"),
+            status=int(status),
+            why=reason,
+            route=journey.route.id,
+            service=journey.service,
+            after_ms=round(self._clock.now() - request.received),
+            attempts=journey.reached,
+            last=journey.last,
+            config=self._facts.rules.version if self._facts.rules else 0,
+        )
+
+
+def _homes(route: Route, organisation: Organisation | None) -> frozenset[str]:
+    """Return the regions allowed by both; a region of neither if they share none."""
+    homes = organisation.home_regions if organisation is not None else frozenset()
+    if not route.home_regions or not homes:
+        return route.home_regions or homes
+    return (route.home_regions & homes) or frozenset({""})
+
+
+def _to_upstream(journey: _Journey, upstream: str, left: Millis) -> UpstreamRequest:
+    request = journey.request
+    organisation = journey.organisation
+    named = _named_by_connection(request)
+    headers = [
+        (name, value)
+        for name, value in request.headers
+        if name.lower() not in CONNECTION_FIELDS
+        and name.lower() not in named
+        and not is_own_request_field(name.lower())
+    ]
+    headers += own_request_fields(
+        upstream, left, organisation.id if organisation is not None else None
+    )
+    return UpstreamRequest(
+        method=request.method,
+        target=request.target,
+        headers=headers,
+        body=request.body,
+        has_body=request.has_body,
+        request_id=request.fields.request_id,
+    )
+
+
+def _named_by_connection(request: CallerRequest) -> frozenset[bytes]:
+    """Return the further fields that concern only the caller's connection."""
+    return frozenset(
+        token.strip().lower()
+        for name, value in request.headers
+        if name.lower() == b"connection"
+        for token in value.split(b",")
+    )
+
+
+def _pass_on(answer: UpstreamAnswer) -> CallerAnswer:
+    return CallerAnswer(status=answer.status, headers=answer.headers, body=answer.body)
+
+
+def _refusal(wait: Millis) -> CallerAnswer:
+    return CallerAnswer(
+        status=HTTPStatus.SERVICE_UNAVAILABLE, headers=[retry_after(wait)]
+    )
+
+
+def _describe(outcome: Outcome) -> str:
+    match outcome:
+        case Answered(answer):
+            return f"answered {answer.status}"
+        case NotRun(reason=reason):
+            return f"not run, {reason}"
+        case Unknown(how=how, reason=reason):
+            return f"{how.value}, {reason}"
--- /dev/null
+++ b/lagoonlatch/entry/pool.py
@@ -0,0 +1,65 @@
+"""Kept connections to the upstreams."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+
+from lagoonlatch.clock import Clock, Millis
+from lagoonlatch.entry.exchange import UpstreamConnection
+from lagoonlatch.steering.model import UpstreamRecord
+
+
+class ConnectionPool:
+    """Idle connections by upstream, the newest used first."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._idle_by_id: dict[str, list[UpstreamConnection]] = defaultdict(list)
+
+    def take(self, upstream: UpstreamRecord, timeout: Millis) -> UpstreamConnection:
+        """Return an idle connection or a new one.
+
+        Raises
+        ------
+        OSError
+            If the upstream can't be reached.
+        """
+        idle = self._idle_by_id[upstream.id]
+        while idle:
+            connection = idle.pop()
+            if connection.is_quiet() and not connection.is_expired():
+                return connection
+            connection.close()
+        return UpstreamConnection.open(upstream.address, timeout, self._clock)
+
+    def put_back(
+        self, upstream: UpstreamRecord, connection: UpstreamConnection
+    ) -> None:
+        """Keep a connection for the next request if it can be used again."""
+        if connection.is_reusable:
+            self._idle_by_id[upstream.id].append(connection)
+
+    def has_living(self, upstream: UpstreamRecord) -> bool:
+        """Return whether an idle connection to `upstream` is still open."""
+        return any(
+            connection.is_quiet() for connection in self._idle_by_id[upstream.id]
+        )
+
+    def has_broken(self, upstream: UpstreamRecord) -> bool:
+        """Return whether an idle connection was closed well before its idle limit."""
+        return any(
+            not connection.is_quiet() and not connection.is_expired()
+            for connection in self._idle_by_id[upstream.id]
+        )
+
+    def drop(self, upstream_id: str) -> None:
+        """Close the idle connections to an upstream."""
+        for connection in self._idle_by_id.pop(upstream_id, ()):
+            connection.close()
+
+    def prune(self) -> None:
+        """Close the connections that are too old to be used again."""
+        for idle in self._idle_by_id.values():
+            for connection in [c for c in idle if c.is_expired()]:
+                idle.remove(connection)
+                connection.close()
--- /dev/null
+++ b/lagoonlatch/entry/probes.py
@@ -0,0 +1,85 @@
+"""Health checks of upstreams under suspicion, until they answer or are gone."""
+
+from __future__ import annotations
+
+import gevent
+import structlog
+
+from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
+from lagoonlatch.entry.exchange import UpstreamConnection
+from lagoonlatch.entry.facts import Facts
+from lagoonlatch.entry.messages import Answered, Outcome, UpstreamRequest
+from lagoonlatch.platform.headers import health_request_fields
+from lagoonlatch.steering.upstreams import UpstreamState
+
+PROBE_TIMEOUT: Millis = 1_000.0
+"""A check waits for a slot like any request, so it may take as long as one."""
+
+FIRST_PAUSE: Millis = 250.0
+LONGEST_PAUSE: Millis = 1_000.0
+"""Bounds of the growing pause between checks."""
+
+_LOG = structlog.get_logger(__name__)
+_OK = 200
+
+
+class Prober:
+    """Checks suspects, one task for each."""
+
+    def __init__(self, facts: Facts, clock: Clock) -> None:
+        self._facts = facts
+        self._clock = clock
+
+    def suspect(self, upstream: UpstreamState, reason: str) -> None:
+        """Send `upstream` nothing until it answers a health check."""
+        if upstream.is_suspect or upstream.is_gone:
+            return
+        upstream.is_suspect = True
+        _LOG.info("upstream_suspected", upstream=upstream.record.id, why=reason)
+        gevent.spawn(self._probe_until_known, upstream)
+
+    def _probe_until_known(self, upstream: UpstreamState) -> None:
+        pause = FIRST_PAUSE
+        while upstream.is_suspect and not upstream.is_gone:
+            if self._probe(upstream):
+                return
+            gevent.sleep(pause / MILLIS_PER_SECOND)
+            pause = min(pause * 2.0, LONGEST_PAUSE)
+
+    def _probe(self, upstream: UpstreamState) -> bool:
+        rules = self._facts.rules
+        service = rules and rules.services_by_id.get(upstream.record.service)
+        if not service:
+            return False
+        outcome = self._check(upstream.record.address, service.health_path)
+        if not isinstance(outcome, Answered) or outcome.answer.status != _OK:
+            return False
+        fields = outcome.answer.fields
+        if fields.upstream and fields.upstream != upstream.record.id:
+            return False
+        upstream.clear_suspicion(fields.cold_left)
+        _LOG.info(
+            "upstream_trusted", upstream=upstream.record.id, cold_ms=fields.cold_left
+        )
+        return True
+
+    def _check(self, address: str, path: str) -> Outcome | None:
+        request = UpstreamRequest(
+            method=b"GET",
+            target=path.encode(),
+            headers=health_request_fields(address),
+            body=b"",
+            has_body=False,
+            request_id=b"",
+        )
+        try:
+            with gevent.Timeout(PROBE_TIMEOUT / MILLIS_PER_SECOND, TimeoutError):
+                connection = UpstreamConnection.open(
+                    address, PROBE_TIMEOUT, self._clock
+                )
+                try:
+                    return connection.exchange(request, PROBE_TIMEOUT)
+                finally:
+                    connection.close()
+        except OSError:
+            return None
--- /dev/null
+++ b/lagoonlatch/entry/process.py
@@ -0,0 +1,229 @@
+"""The process of an entry VM: start, serve, planned stop."""
+
+from __future__ import annotations
+
+import signal
+import sys
+from dataclasses import replace
+
+import gevent
+import structlog
+from gevent import socket
+from gevent.event import Event
+from gevent.server import StreamServer
+from returns.result import Failure
+
+from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
+from lagoonlatch.entry.attempts import Attempts
+from lagoonlatch.entry.connection import CallerConnection
+from lagoonlatch.entry.doors import serve_lookups, serve_readiness
+from lagoonlatch.entry.facts import Facts
+from lagoonlatch.entry.handling import RequestHandler
+from lagoonlatch.entry.pool import ConnectionPool
+from lagoonlatch.entry.probes import Prober
+from lagoonlatch.entry.registration import Registration
+from lagoonlatch.entry.sync import StoreSync
+from lagoonlatch.exit_codes import ExitCode
+from lagoonlatch.logs import configure_logs
+from lagoonlatch.platform.kv import KeyValueStore
+from lagoonlatch.platform.settings_file import VmSettings
+from lagoonlatch.steering.admission import Admission
+from lagoonlatch.steering.allowances import Allowances
+from lagoonlatch.steering.cold import ColdRamp
+from lagoonlatch.steering.lookup import Lookup
+from lagoonlatch.steering.model import CallerLimits, TrafficRules, VmRecord
+from lagoonlatch.steering.placement import Placement
+from lagoonlatch.steering.repeats import RepeatBudget
+from lagoonlatch.steering.upstreams import Fleet
+
+BACKLOG = 1_024
+
+LINGER: Millis = 3_500.0
+"""A leaving VM still answers callers that use an older look-up for so long."""
+
+END_MARGIN: Millis = 700.0
+"""A leaving VM is done so long before it would be killed."""
+
+HOUSEKEEPING: Millis = 250.0
+"""Interval of the small regular tasks."""
+
+_LOG = structlog.get_logger(__name__)
+
+
+class EntryProcess:
+    """Puts the parts of an entry VM together."""
+
+    def __init__(self, settings: VmSettings) -> None:
+        self._settings = settings
+        self._clock = Clock()
+        self._store = KeyValueStore.from_address(settings.store_address)
+        self._stop = Event()
+        self._connections: set[CallerConnection] = set()
+        self._me = VmRecord(
+            id=settings.vm,
+            data_centre=settings.data_centre,
+            caller_address=settings.caller_address,
+            peer_address=settings.peer_address,
+            run=int(self._clock.wall()),
+            is_ready=True,
+        )
+        self._build()
+
+    @classmethod
+    def from_settings(cls, settings: VmSettings) -> EntryProcess:
+        """Return the process of the VM that `settings` describe."""
+        return cls(settings)
+
+    def run(self) -> ExitCode:
+        """Serve until a signal asks to stop."""
+        gevent.signal_handler(signal.SIGTERM, self._stop.set)
+        gevent.signal_handler(signal.SIGINT, self._stop.set)
+        gevent.signal_handler(signal.SIGHUP, self._reload)
+        _LOG.info("started", first_start=self._settings.is_first_start)
+        self._listen()
+        self._spawn(self._sync.run)
+        self._spawn(self._registration.run)
+        self._spawn(self._keep_house)
+        self._stop.wait()
+        self._leave()
+        _LOG.info("stopped")
+        return ExitCode.DONE
+
+    def _build(self) -> None:
+        settings, clock = self._settings, self._clock
+        bounds = settings.bounds
+        self._fleet = Fleet(settings.region_by_data_centre, clock)
+        self._facts = Facts(self._fleet, clock)
+        self._sync = StoreSync(self._store, self._facts, clock)
+        self._registration = Registration(self._store, self._me, clock)
+        self._cold_ramp = ColdRamp(settings.vm, lambda: self._facts.vms_by_id, clock)
+        self._allowances = Allowances(self._count_vms, settings.is_first_start, clock)
+        self._pool = ConnectionPool(clock)
+        admission = Admission()
+        attempts = Attempts(
+            self._fleet,
+            self._pool,
+            Prober(self._facts, clock),
+            admission,
+            clock,
+        )
+        self._handler = RequestHandler(
+            self._facts,
+            Placement(self._fleet, settings.region, self._cold_ramp.take),
+            admission,
+            self._allowances,
+            RepeatBudget(
+                bounds.retry_ratio,
+                bounds.retry_slack,
+                bounds.retry_window,
+                self._count_vms,
+                clock,
+            ),
+            attempts,
+            clock,
+        )
+        self._lookup = Lookup(
+            self._ready_vms,
+            settings.region_by_data_centre,
+            bounds.longest_lookup_ttl,
+        )
+        self._facts.on_rules(self._follow_rules)
+        self._facts.on_upstream_gone(self._pool.drop)
+
+    def _follow_rules(self, rules: TrafficRules) -> None:
+        self._cold_ramp.configure(rules.services_by_id)
+        self._allowances.configure(rules.organisations_by_id)
+
+    def _listen(self) -> None:
+        host, _, port = self._settings.caller_address.rpartition(":")
+        self._server = StreamServer(
+            (host, int(port)), self._serve_caller, backlog=BACKLOG
+        )
+        self._server.start()
+        self._lookups = serve_lookups(self._settings.directory_address, self._lookup)
+        self._readiness = serve_readiness(
+            self._settings.readiness_address, self._is_ready
+        )
+
+    def _serve_caller(self, sock: socket.socket, _address: tuple) -> None:
+        connection = CallerConnection(
+            sock, self._handler, self._limits, self._stop.is_set, self._clock
+        )
+        self._connections.add(connection)
+        try:
+            connection.run()
+        finally:
+            self._connections.discard(connection)
+
+    def _limits(self) -> CallerLimits:
+        rules = self._facts.rules
+        return rules.limits if rules is not None else CallerLimits()
+
+    def _is_ready(self) -> bool:
+        return self._facts.rules is not None and not self._stop.is_set()
+
+    def _ready_vms(self) -> list[VmRecord]:
+        vms = [
+            vm
+            for vm in self._facts.vms_by_id.values()
+            if vm.is_ready and vm.id != self._me.id
+        ]
+        if self._is_ready():
+            vms.append(self._me)
+        return vms
+
+    def _count_vms(self) -> int:
+        return len(self._facts.roster | {self._me.id})
+
+    def _keep_house(self) -> None:
+        while True:
+            gevent.sleep(HOUSEKEEPING / MILLIS_PER_SECOND)
+            self._facts.settle()
+            self._pool.prune()
+
+    def _reload(self) -> None:
+        read = VmSettings.from_environment()
+        if isinstance(read, Failure):
+            _LOG.error("reload_failed", why=read.failure())
+            return
+        self._settings = replace(read.unwrap(), is_first_start=False)
+        _LOG.info("reloaded")
+
+    def _leave(self) -> None:
+        """Answer what has been read, send callers elsewhere, then end."""
+        started = self._clock.now()
+        _LOG.info("stopping", connections=len(self._connections))
+        gevent.spawn(self._registration.leave)
+        end = started + self._settings.bounds.stop_grace - END_MARGIN
+        while self._clock.now() < end:
+            gevent.sleep(0.05)
+            lingered = self._clock.now() - started >= LINGER
+            if lingered and all(c.is_idle for c in self._connections):
+                break
+        self._server.stop_accepting()
+        for connection in list(self._connections):
+            connection.close_if_idle()
+
+    def _spawn(self, task) -> None:
+        """Run a task that lasts as long as the process."""
+        greenlet = gevent.spawn(task)
+        greenlet.link_exception(self._end_broken)
+
+    def _end_broken(self, greenlet: gevent.Greenlet) -> None:
+        _LOG.error("task_failed", why=repr(greenlet.exception))
+        sys.stdout.flush()
+        gevent.get_hub().handle_system_error(SystemExit, SystemExit(ExitCode.FAILED))
+
+
+def entry() -> int:
+    """Run an entry VM on the users' platform.
+
+    The environment variable LAGOONLATCH_CONFIG names the settings file.
+    """
+    settings = VmSettings.from_environment()
+    if isinstance(settings, Failure):
+        print(settings.failure(), file=sys.stderr)
+        return ExitCode.BAD_INPUT
+    vm = settings.unwrap()
+    configure_logs("json", vm=vm.vm, data_centre=vm.data_centre)
+    return EntryProcess.from_settings(vm).run()
--- /dev/null
+++ b/lagoonlatch/entry/sync.py
@@ -0,0 +1,113 @@
+"""Follows the store: one snapshot, then a waiting watch."""
+
+from __future__ import annotations
+
+import random
+
+import gevent
+import structlog
+from gevent.event import Event
+from returns.result import Failure
+
+from lagoonlatch.clock import Clock, Millis
+from lagoonlatch.entry.facts import Facts
+from lagoonlatch.platform.kv import HistoryGone, KeyValueStore, Watch
+from lagoonlatch.platform.store import StoreError
+
+WATCH_WAIT: Millis = 25_000.0
+"""How long a watch waits; each is a call, and the store allows 30 s."""
+
+GATHER: Millis = 300.0
+"""Pause between an answer of the watch and the next call, so that one call brings the
+changes of several upstreams; a small part of the time in which a change must count."""
+
+RETRY_FIRST: Millis = 150.0
+RETRY_MOST: Millis = 1_000.0
+"""Bounds of the growing pause between calls to a store that fails."""
+
+OUTAGE: Millis = 1_000.0
+"""A store that has failed for so long may have let entries lapse."""
+
+_LOG = structlog.get_logger(__name__)
+
+
+class StoreSync:
+    """Keeps the facts up to date with the store.
+
+    Parameters
+    ----------
+    prefix : str
+        The keys followed.
+    """
+
+    def __init__(
+        self, store: KeyValueStore, facts: Facts, clock: Clock, prefix: str = ""
+    ) -> None:
+        self._store = store
+        self._facts = facts
+        self._clock = clock
+        self._prefix = prefix
+        self._watch: Watch = store.open_watch(prefix, WATCH_WAIT)
+        self._revision: int | None = None
+        self._failing_since: Millis | None = None
+        self._pause = RETRY_FIRST
+        self.has_read = Event()
+
+    @property
+    def is_failing(self) -> bool:
+        """Whether the last call to the store failed."""
+        return self._failing_since is not None
+
+    def run(self) -> None:
+        """Follow the store for ever."""
+        while True:
+            failure = self._read() if self._revision is None else self._follow()
+            if failure is None:
+                self._note_success()
+            else:
+                self._note_failure(failure)
+
+    def _read(self) -> StoreError | None:
+        snapshot = self._store.read_prefix(self._prefix)
+        if isinstance(snapshot, Failure):
+            return snapshot.failure()
+        self._note_success()
+        found = snapshot.unwrap()
+        self._facts.take_snapshot(found.entries)
+        self._revision = found.revision
+        self.has_read.set()
+        return None
+
+    def _follow(self) -> StoreError | None:
+        changes = self._watch.wait_for_changes(self._revision or 0)
+        if isinstance(changes, Failure):
+            error = changes.failure()
+            # What happened meanwhile is read anew.
+            self._revision = None
+            if isinstance(error, HistoryGone):
+                _LOG.info("watch_history_gone")
+                return None
+            return error
+        self._note_success()
+        found = changes.unwrap()
+        self._facts.take_changes(found.changes)
+        self._revision = found.revision
+        if found.changes:
+            gevent.sleep(GATHER / 1_000.0)
+        return None
+
+    def _note_success(self) -> None:
+        if self._failing_since is not None:
+            outage = self._clock.now() - self._failing_since
+            if outage > OUTAGE:
+                self._facts.note_outage_end()
+            _LOG.info("store_regained", outage_ms=round(outage))
+        self._failing_since = None
+        self._pause = RETRY_FIRST
+
+    def _note_failure(self, error: StoreError) -> None:
+        if self._failing_since is None:
+            self._failing_since = self._clock.now()
+            _LOG.warning("store_lost", why=str(error))
+        gevent.sleep(self._pause * random.uniform(0.7, 1.3) / 1_000.0)
+        self._pause = min(self._pause * 2.0, RETRY_MOST)
--- /dev/null
+++ b/lagoonlatch/platform/headers.py
@@ -0,0 +1,179 @@
+"""The header fields that the platform gives a meaning, decoded once."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from lagoonlatch.clock import MILLIS_PER_SECOND, Millis
+
+HeaderList = list[tuple[bytes, bytes]]
+
+_TOKEN_SCHEME = b"token"
+_AFFINITY_COOKIE = b"Affinity-Key"
+
+# Set by this system; a caller's own are not passed on.
+_OWN_REQUEST_FIELDS = frozenset(
+    {b"authorization", b"tenant", b"expect-instance", b"deadline-ms"}
+)
+
+
+@dataclass(frozen=True, kw_only=True)
+class RequestFields:
+    """What a caller's header says.
+
+    Parameters
+    ----------
+    request_id : bytes
+        Names this attempt of the caller; empty if it names none.
+    time_left : Millis or None
+        How long the caller will wait.
+    key : str or None
+        The key shown; None without one.
+    affinity : str
+        Names the object that the request is about; empty for none.
+    """
+
+    request_id: bytes
+    time_left: Millis | None
+    key: str | None
+    affinity: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class UpstreamLoad:
+    """What an upstream says of its load."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class AnswerFields:
+    """What an upstream's header says.
+
+    Parameters
+    ----------
+    request_id : bytes
+        The request that it answers; empty if it doesn't say.
+    not_run : bool
+        Whether it states that it has not run the request.
+    load : UpstreamLoad or None
+        Its load, if it tells it.
+    keep_alive : Millis or None
+        When it closes the connection if idle.
+    upstream : str
+        Id of the upstream, in health answers and misdirected requests.
+    cold_left : Millis
+        How long it stays cold; 0 if it isn't.
+    """
+
+    request_id: bytes
+    not_run: bool
+    load: UpstreamLoad | None
+    keep_alive: Millis | None
+    upstream: str
+    cold_left: Millis
+
+
+def read_request_fields(headers: Iterable[tuple[bytes, bytes]]) -> RequestFields:
+    """Decode a caller's header; names are in lower case."""
+    value_by_name = dict(headers)
+    return RequestFields(
+        request_id=value_by_name.get(b"request-id", b""),
+        time_left=_positive(value_by_name.get(b"deadline-ms")),
+        key=_key(value_by_name.get(b"authorization")),
+        affinity=_affinity(value_by_name.get(b"cookie", b"")),
+    )
+
+
+def own_request_fields(
+    upstream: str, time_left: Millis, organisation: str | None
+) -> HeaderList:
+    """Return the fields that an upstream gets from this system."""
+    fields = [
+        (b"Expect-Instance", upstream.encode()),
+        (b"Deadline-Ms", str(max(int(time_left), 1)).encode()),
+    ]
+    if organisation is not None:
+        fields.append((b"Tenant", organisation.encode()))
+    return fields
+
+
+def is_own_request_field(name: bytes) -> bool:
+    """Return whether this system sets or removes the field `name` (lower case)."""
+    return name in _OWN_REQUEST_FIELDS
+
+
+def retry_after(delay: Millis) -> tuple[bytes, bytes]:
+    """Return the field that tells when to come back."""
+    seconds = math.ceil(delay) / MILLIS_PER_SECOND
+    return b"Retry-After", f"{seconds:g}".encode()
+
+
+def read_answer_fields(headers: Iterable[tuple[bytes, bytes]]) -> AnswerFields:
+    """Decode an upstream's header; names are in lower case."""
+    value_by_name = dict(headers)
+    return AnswerFields(
+        request_id=value_by_name.get(b"request-id", b""),
+        not_run=b"not-run" in value_by_name,
+        load=_load(value_by_name.get(b"server-load")),
+        keep_alive=_keep_alive(value_by_name.get(b"keep-alive", b"")),
+        upstream=value_by_name.get(b"instance-id", b"").decode("latin-1"),
+        cold_left=_positive(value_by_name.get(b"cold-ms")) or 0.0,
+    )
+
+
+def _positive(value: bytes | None) -> Millis | None:
+    try:
+        number = float(value) if value is not None else 0.0
+    except ValueError:
+        return None
+    return number if 0.0 < number < math.inf else None
+
+
+def _key(value: bytes | None) -> str | None:
+    if value is None:
+        return None
+    scheme, _, key = value.partition(b" ")
+    if scheme.lower() != _TOKEN_SCHEME:
+        return ""
+    return key.strip().decode("latin-1")
+
+
+def _affinity(cookies: bytes) -> str:
+    for cookie in cookies.split(b";"):
+        name, _, value = cookie.strip().partition(b"=")
+        if name == _AFFINITY_COOKIE:
+            return value.decode("latin-1")
+    return ""
+
+
+def _load(value: bytes | None) -> UpstreamLoad | None:
+    if value is None:
+        return None
+    parts = value.split(b",")
+    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+        return None
+    running, waiting, slots = (int(part) for part in parts)
+    return UpstreamLoad(running=running, waiting=waiting, slots=slots)
+
+
+def _keep_alive(value: bytes) -> Millis | None:
+    for part in value.split(b","):
+        name, _, seconds = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and seconds.strip().isdigit():
+            return int(seconds) * MILLIS_PER_SECOND
+    return None
+
+
+def is_stamp(name: bytes) -> bool:
+    """Return whether `name` (lower case) is the field by which an upstream signs."""
+    return name == b"server-stamp"
+
+
+def health_request_fields(address: str) -> HeaderList:
+    """Return the header of a health check at ``IP:port``."""
+    return [(b"Host", address.encode())]
--- /dev/null
+++ b/lagoonlatch/platform/kv.py
@@ -0,0 +1,294 @@
+"""The platform's key-value store: ranges, watches, transactions and leases."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TypeVar
+from urllib.parse import urlencode
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from lagoonlatch.clock import MILLIS_PER_SECOND, Millis
+from lagoonlatch.platform.connections import Answer, CallFailed, Connections
+from lagoonlatch.platform.endpoint import Endpoint
+from lagoonlatch.platform.store import (
+    Entry,
+    StoreConflict,
+    StoreError,
+    StoreLeaseEnded,
+    StoreOutcomeUnknown,
+    StoreUnavailable,
+)
+
+CALL_TIMEOUT: Millis = 1_500.0
+"""Longest time of one call; the store answers in milliseconds unless it is ill."""
+
+WATCH_MARGIN: Millis = 2_000.0
+"""How much longer than it may wait a watch's answer is waited for."""
+
+_OK = 200
+_NOT_FOUND = 404
+_GONE = 410
+_CONFLICT = 412
+_TURNED_AWAY = frozenset({403, 429, 503})
+
+M = TypeVar("M")
+
+
+@dataclass(frozen=True)
+class HistoryGone:
+    """The store no longer holds the changes since the revision asked for."""
+
+
+@dataclass(frozen=True)
+class Snapshot:
+    """Entries, and a revision whose later changes complete them."""
+
+    entries: tuple[Entry, ...]
+    revision: int
+
+
+@dataclass(frozen=True)
+class Changes:
+    """Changes in order.
+
+    Parameters
+    ----------
+    written : tuple of Entry
+        Each change; a value of None says that the key was removed.
+    revision : int
+        Where to continue.
+    """
+
+    changes: tuple[Change, ...]
+    revision: int
+
+
+@dataclass(frozen=True)
+class Change:
+    """A written or removed key; `value` is None if it was removed."""
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+class _Item(msgspec.Struct):
+    key: str
+    rev: int
+    value: bytes = b""
+    tombstone: bool = False
+
+
+class _Range(msgspec.Struct):
+    items: list[_Item]
+    store_revision: int
+    has_more: bool = False
+
+
+class _Events(msgspec.Struct):
+    events: list[_Item]
+    store_revision: int
+
+
+class _Written(msgspec.Struct):
+    rev: int
+
+
+class _Conflict(msgspec.Struct):
+    items: list[_Item | None] = []
+
+
+class _Lease(msgspec.Struct):
+    lease: int
+
+
+class KeyValueStore:
+    """The store at one address.
+
+    Parameters
+    ----------
+    endpoint : Endpoint
+        The store.
+    """
+
+    def __init__(self, endpoint: Endpoint) -> None:
+        self._endpoint = endpoint
+        self._connections = Connections(endpoint, CALL_TIMEOUT)
+
+    @classmethod
+    def from_address(cls, address: str) -> KeyValueStore:
+        """Return the store at ``IP:port``."""
+        return cls(Endpoint.from_address(address))
+
+    def read_prefix(self, prefix: str) -> Result[Snapshot, StoreError]:
+        """Return all entries whose keys begin with `prefix`."""
+        entries: list[Entry] = []
+        revision = 0
+        after = ""
+        while True:
+            page = self._get(
+                "/kv-range", _Range, {"path_prefix": prefix, "after": after}
+            )
+            if isinstance(page, Failure):
+                return page
+            found = page.unwrap()
+            # Later pages may hold later changes; the first page's revision is the
+            # one from which a watch misses none.
+            revision = revision or found.store_revision
+            entries.extend(Entry(i.key, i.value, i.rev) for i in found.items)
+            if not found.has_more or not found.items:
+                return Success(Snapshot(tuple(entries), revision))
+            after = found.items[-1].key
+
+    def open_watch(self, prefix: str, wait: Millis) -> Watch:
+        """Return a watch of `prefix`, whose calls wait up to `wait`."""
+        return Watch(self._endpoint, prefix, wait)
+
+    def put(self, key: str, value: bytes, lease: int = 0) -> Result[int, StoreError]:
+        """Write `value` and return its revision."""
+        return self._transact({"writes": [_write(key, value, lease)]}, key, lease)
+
+    def put_if(
+        self, key: str, value: bytes, revision: int, lease: int = 0
+    ) -> Result[int, StoreError]:
+        """Write `value` if `key` still has `revision` (0: absent)."""
+        body = {
+            "expect_rev": [{"key": key, "rev": revision}],
+            "writes": [_write(key, value, lease)],
+        }
+        return self._transact(body, key, lease)
+
+    def delete_if(self, key: str, revision: int) -> Result[int, StoreError]:
+        """Delete `key` if it still has `revision`."""
+        body = {"expect_rev": [{"key": key, "rev": revision}], "remove": [key]}
+        return self._transact(body, key, 0)
+
+    def delete(self, key: str) -> Result[int, StoreError]:
+        """Delete `key`."""
+        return self._transact({"remove": [key]}, key, 0)
+
+    def grant_lease(self, duration: Millis) -> Result[int, StoreError]:
+        """Return the id of a new lease of `duration`."""
+        body = msgspec.json.encode({"ttl_s_time": duration / MILLIS_PER_SECOND})
+        outcome = self._connections.call("POST", "/kv-lease", body)
+        return _read_write(outcome, _Lease, 0).map(lambda lease: lease.lease)
+
+    def renew_lease(self, lease: int) -> Result[None, StoreError]:
+        """Extend a lease; StoreLeaseEnded if it has ended."""
+        outcome = self._connections.call("POST", f"/kv-keep/{lease}", b"{}")
+        return _read_write(outcome, dict, lease).map(lambda _: None)
+
+    def revoke_lease(self, lease: int) -> Result[None, StoreError]:
+        """End a lease now."""
+        outcome = self._connections.call("DELETE", f"/kv-lease-end/{lease}")
+        if isinstance(outcome, Success) and outcome.unwrap().status == _OK:
+            return Success(None)
+        return _read_write(outcome, dict, lease).map(lambda _: None)
+
+    def _get(
+        self, path: str, kind: type[M], query: dict[str, str]
+    ) -> Result[M, StoreError]:
+        return _read_read(_get(self._connections, path, query), kind)
+
+    def _transact(self, body: object, key: str, lease: int) -> Result[int, StoreError]:
+        outcome = self._connections.call("POST", "/kv-txn", msgspec.json.encode(body))
+        if isinstance(outcome, Success) and outcome.unwrap().status == _CONFLICT:
+            return Failure(StoreConflict(key, _found(outcome.unwrap().body, key)))
+        return _read_write(outcome, _Written, lease).map(lambda done: done.rev)
+
+
+class Watch:
+    """Waits for changes under a prefix, on a connection of its own."""
+
+    def __init__(self, endpoint: Endpoint, prefix: str, wait: Millis) -> None:
+        self._prefix = prefix
+        self._wait = wait
+        self._connections = Connections(endpoint, wait + WATCH_MARGIN, size=1)
+
+    def wait_for_changes(
+        self, revision: int
+    ) -> Result[Changes, StoreError | HistoryGone]:
+        """Return the changes after `revision`, none if the wait ends first."""
+        query = {
+            "path_prefix": self._prefix,
+            "after": str(revision),
+            "wait_ms": str(int(self._wait)),
+        }
+        outcome = _get(self._connections, "/kv-watch", query)
+        if isinstance(outcome, Success) and outcome.unwrap().status == _GONE:
+            return Failure(HistoryGone())
+        return _read_read(outcome, _Events).map(
+            lambda found: Changes(
+                tuple(_change(item) for item in found.events), found.store_revision
+            )
+        )
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._connections.close()
+
+
+def _write(key: str, value: bytes, lease: int) -> dict[str, object]:
+    return {"key": key, "value": value, "lease": lease}
+
+
+def _change(item: _Item) -> Change:
+    return Change(item.key, None if item.tombstone else item.value, item.rev)
+
+
+def _get(
+    connections: Connections, path: str, query: dict[str, str]
+) -> Result[Answer, CallFailed]:
+    text = urlencode({name: value for name, value in query.items() if value}, safe="/")
+    return connections.call("GET", f"{path}?{text}")
+
+
+def _found(body: bytes, key: str) -> Entry | None:
+    try:
+        conflict = msgspec.json.decode(body, type=_Conflict)
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return None
+    for item in conflict.items:
+        if item is not None and item.key == key and item.rev:
+            return Entry(item.key, item.value, item.rev)
+    return None
+
+
+def _read_read(
+    outcome: Result[Answer, CallFailed], kind: type[M]
+) -> Result[M, StoreError]:
+    if isinstance(outcome, Failure):
+        return Failure(StoreUnavailable(outcome.failure().reason))
+    answer = outcome.unwrap()
+    if answer.status != _OK:
+        return Failure(StoreUnavailable(_describe(answer)))
+    try:
+        return Success(msgspec.json.decode(answer.body, type=kind))
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Failure(StoreUnavailable(f"unreadable answer: {error}"))
+
+
+def _read_write(
+    outcome: Result[Answer, CallFailed], kind: type[M], lease: int
+) -> Result[M, StoreError]:
+    if isinstance(outcome, Failure):
+        failed = outcome.failure()
+        error = StoreOutcomeUnknown if failed.sent else StoreUnavailable
+        return Failure(error(failed.reason))
+    answer = outcome.unwrap()
+    if answer.status == _NOT_FOUND and lease:
+        return Failure(StoreLeaseEnded(lease))
+    if answer.status in _TURNED_AWAY:
+        return Failure(StoreUnavailable(_describe(answer)))
+    if answer.status != _OK:
+        return Failure(StoreOutcomeUnknown(_describe(answer)))
+    try:
+        return Success(msgspec.json.decode(answer.body or b"{}", type=kind))
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Failure(StoreOutcomeUnknown(f"unreadable answer: {error}"))
+
+
+def _describe(answer: Answer) -> str:
+    return f"HTTP {answer.status}: {answer.body[:200].decode(errors='replace')}"
--- /dev/null
+++ b/lagoonlatch/steering/upstreams.py
@@ -0,0 +1,202 @@
+"""What this VM believes of each upstream: load, temperature, suspicion."""
+
+from __future__ import annotations
+
+import math
+from collections import defaultdict
+from collections.abc import Iterable, Iterator, Mapping
+
+from lagoonlatch.clock import Clock, Millis
+from lagoonlatch.steering.model import Service, UpstreamRecord
+
+LOAD_MEMORY: Millis = 700.0
+"""Time constant with which a reported load of other VMs fades; about one request."""
+
+FAILURE_MEMORY = 0.1
+"""Weight of the newest outcome in the moving average of failures."""
+
+FORGET_AFTER: Millis = 30_000.0
+"""How long the start of an upstream that is gone is remembered."""
+
+
+class UpstreamState:
+    """One upstream as this VM knows it.
+
+    Attributes
+    ----------
+    in_flight : int
+        Requests of this VM that it holds.
+    failure_share : float
+        Moving average of attempts that it failed, 0 to 1.
+    is_suspect : bool
+        Whether it must answer a health check before it gets requests again.
+    """
+
+    def __init__(self, record: UpstreamRecord, region: str, clock: Clock) -> None:
+        self.record = record
+        self.region = region
+        self.in_flight = 0
+        self.failure_share = 0.0
+        self.is_suspect = False
+        self.is_gone = False
+        self._clock = clock
+        self._cold_until: Millis = -math.inf
+        self._others = 0.0
+        self._reported: Millis = -math.inf
+
+    def load(self) -> float:
+        """Return the estimated number of requests that it runs or queues."""
+        age = self._clock.now() - self._reported
+        return self.in_flight + self._others * math.exp(-age / LOAD_MEMORY)
+
+    def report_load(self, requests: int, own: int) -> None:
+        """Take in its own count of `requests`, `own` of which were this VM's."""
+        self._others = max(float(requests - own), 0.0)
+        self._reported = self._clock.now()
+
+    def note_success(self) -> None:
+        """Count an attempt that it answered."""
+        self.failure_share *= 1.0 - FAILURE_MEMORY
+
+    def note_failure(self) -> None:
+        """Count an attempt that it failed."""
+        self.failure_share += FAILURE_MEMORY * (1.0 - self.failure_share)
+
+    def is_cold(self) -> bool:
+        """Return whether it bears few requests as yet."""
+        return self._clock.now() < self._cold_until
+
+    def warm_in(self) -> Millis:
+        """Return how long it stays cold; 0 if it is warm."""
+        return max(self._cold_until - self._clock.now(), 0.0)
+
+    def set_cold(self, duration: Millis) -> None:
+        """Believe that it stays cold for `duration` at least."""
+        self._cold_until = max(self._cold_until, self._clock.now() + duration)
+
+    def clear_suspicion(self, cold_left: Millis) -> None:
+        """Trust its health answer, which tells how long it stays cold."""
+        self.is_suspect = False
+        self._cold_until = self._clock.now() + cold_left
+
+
+class Fleet:
+    """All upstreams, by service.
+
+    Parameters
+    ----------
+    region_by_data_centre : mapping of str to str
+        The installation's data centres.
+    """
+
+    def __init__(self, region_by_data_centre: Mapping[str, str], clock: Clock) -> None:
+        self._region_by_data_centre = region_by_data_centre
+        self._clock = clock
+        self._states_by_id: dict[str, UpstreamState] = {}
+        self._states_by_service: dict[str, dict[str, UpstreamState]] = defaultdict(dict)
+        self._services_by_id: Mapping[str, Service] = {}
+        self._evacuated: frozenset[str] = frozenset()
+        self._born_by_id: dict[str, tuple[float, Millis]] = {}
+
+    def configure(self, services_by_id: Mapping[str, Service]) -> None:
+        """Follow the configuration."""
+        self._services_by_id = services_by_id
+
+    def put(self, record: UpstreamRecord, was_running: bool = False) -> None:
+        """Add or update an upstream.
+
+        Parameters
+        ----------
+        was_running : bool
+            Whether it may have run since before this VM looked; one that appears
+            later has just started and is cold.
+        """
+        known = self._states_by_id.get(record.id)
+        region = self._region_by_data_centre.get(record.data_centre)
+        if region is None:
+            # Data centres outside the installation are not used.
+            self.remove(record.id)
+            return
+        if known is not None and self._is_same_run(known.record, record):
+            known.record = record
+        else:
+            if known is not None:
+                self.remove(record.id)
+            known = self._add(record, region, was_running)
+        if record.cold_left > 0.0:
+            known.set_cold(record.cold_left)
+
+    def remove(self, upstream_id: str) -> None:
+        """Drop an upstream that is gone."""
+        state = self._states_by_id.pop(upstream_id, None)
+        if state is None:
+            return
+        state.is_gone = True
+        del self._states_by_service[state.record.service][upstream_id]
+        now = self._clock.now()
+        self._born_by_id[upstream_id] = (state.record.born, now)
+        for forgotten in [
+            known
+            for known, (_, since) in self._born_by_id.items()
+            if now - since > FORGET_AFTER
+        ]:
+            del self._born_by_id[forgotten]
+
+    def evacuate(self, data_centres: frozenset[str]) -> None:
+        """Send nothing to `data_centres`; those taken back are cold for a while."""
+        for state in self._states_by_id.values():
+            data_centre = state.record.data_centre
+            if data_centre in self._evacuated - data_centres:
+                state.set_cold(self._cold_duration(state.record.service))
+        self._evacuated = data_centres
+
+    def is_evacuated(self, data_centre: str) -> bool:
+        """Return whether `data_centre` is to get no requests."""
+        return data_centre in self._evacuated
+
+    def of_service(self, service: str) -> Iterable[UpstreamState]:
+        """Return the upstreams of a service."""
+        return self._states_by_service[service].values()
+
+    def find(self, upstream_id: str) -> UpstreamState | None:
+        """Return the upstream called `upstream_id`."""
+        return self._states_by_id.get(upstream_id)
+
+    def ids(self) -> frozenset[str]:
+        """Return the ids of all upstreams."""
+        return frozenset(self._states_by_id)
+
+    def usable(self, service: str) -> Iterator[UpstreamState]:
+        """Yield the upstreams of a service that may get requests."""
+        for state in self.of_service(service):
+            if not (
+                state.record.is_draining
+                or state.is_suspect
+                or state.record.data_centre in self._evacuated
+            ):
+                yield state
+
+    def _add(
+        self, record: UpstreamRecord, region: str, was_running: bool
+    ) -> UpstreamState:
+        state = UpstreamState(record, region, self._clock)
+        self._states_by_id[record.id] = state
+        self._states_by_service[record.service][record.id] = state
+        remembered = self._born_by_id.pop(record.id, None)
+        returns = remembered is not None and remembered[0] == record.born
+        if not (was_running or returns):
+            state.set_cold(self._cold_duration(record.service))
+        return state
+
+    def _cold_duration(self, service: str) -> Millis:
+        known = self._services_by_id.get(service)
+        return known.cold_duration if known is not None else 0.0
+
+    @staticmethod
+    def _is_same_run(known: UpstreamRecord, record: UpstreamRecord) -> bool:
+        return (known.born, known.address, known.service, known.data_centre) == (
+            record.born,
+            record.address,
+            record.service,
+            record.data_centre,
+        )
