Send a request to its object's own upstream, and only where a slot is free

Change: an object has few upstreams, in the order of its hash; a request waits at the VM for the first one for half of its usual time before it takes another; loads of other VMs are guessed from this one's own when no fresh report is there; the waiting room is ordered by urgency and refuses at once what can't get a slot in time.

--- a/lagoonlatch/entry/attempts.py
+++ b/lagoonlatch/entry/attempts.py
@@ -42,16 +42,23 @@
         self._clock = clock
 
     def run(
-        self, upstream: UpstreamState, request: UpstreamRequest, time_left: Millis
+        self,
+        upstream: UpstreamState,
+        request: UpstreamRequest,
+        time_left: Millis,
+        route: str,
     ) -> Outcome:
-        """Send `request` and return its outcome within `time_left`."""
+        """Send a request of `route`; return its outcome within `time_left`."""
         started = self._clock.now()
         upstream.in_flight += 1
         try:
             outcome = self._exchange(upstream, request, time_left)
         finally:
             upstream.in_flight -= 1
-        self._learn(upstream, outcome, self._clock.now() - started)
+        duration = self._clock.now() - started
+        self._learn(upstream, outcome)
+        if isinstance(outcome, Answered) and outcome.answer.status < _FIRST_FAILURE:
+            self._admission.note_duration(route, duration)
         return outcome
 
     def _exchange(
@@ -82,15 +89,12 @@
         self._pool.put_back(upstream.record, connection)
         return outcome
 
-    def _learn(
-        self, upstream: UpstreamState, outcome: Outcome, duration: Millis
-    ) -> None:
+    def _learn(self, upstream: UpstreamState, outcome: Outcome) -> None:
         match outcome:
             case Answered(answer):
                 self._learn_load(upstream, answer)
                 if answer.status < _FIRST_FAILURE:
                     upstream.note_success()
-                    self._admission.note_duration(upstream.record.service, duration)
                 else:
                     upstream.note_failure()
             case NotRun(misdirected=True):
--- a/lagoonlatch/entry/handling.py
+++ b/lagoonlatch/entry/handling.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
+import gevent
 import structlog
+from gevent.event import AsyncResult
 
-from lagoonlatch.clock import Clock, Millis
+from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
 from lagoonlatch.entry.attempts import Attempts
 from lagoonlatch.entry.facts import Facts
 from lagoonlatch.entry.messages import (
@@ -30,9 +33,11 @@
 from lagoonlatch.steering.admission import Admission
 from lagoonlatch.steering.allowances import Allowances
 from lagoonlatch.steering.model import Organisation, Route
-from lagoonlatch.steering.placement import Place, Placement, Wish
+from lagoonlatch.steering.placement import Placement, Wish
+from lagoonlatch.steering.queueing import Urgency, WaitingRoom
 from lagoonlatch.steering.repeats import RepeatBudget
 from lagoonlatch.steering.splits import Splitter
+from lagoonlatch.steering.upstreams import UpstreamState
 
 UNREADY_RETRY: Millis = 1_000.0
 """When to come back to a VM that knows no configuration yet."""
@@ -60,6 +65,38 @@
     failed_answer: UpstreamAnswer | None = None
     last: str = ""
 
+    def object_name(self) -> str:
+        """Return what the request is about; empty if it doesn't matter."""
+        affinity = self.request.fields.affinity
+        return f"{self.route.id}/{affinity}" if affinity else ""
+
+    def urgency(self) -> Urgency:
+        organisation = self.organisation
+        return Urgency(
+            organisation=organisation.priority if organisation is not None else 0,
+            route=self.route.priority,
+        )
+
+
+class _Seat:
+    """Waits for an upstream with a free slot."""
+
+    def __init__(self) -> None:
+        self._offered: AsyncResult = AsyncResult()
+
+    def offer(self, upstream: UpstreamState) -> None:
+        # It counts as taken at once, so that the next in line sees it.
+        upstream.in_flight += 1
+        self._offered.set(upstream)
+
+    def await_offer(self, wait: Millis) -> UpstreamState | None:
+        try:
+            upstream = self._offered.get(timeout=wait / MILLIS_PER_SECOND)
+        except gevent.Timeout:
+            return None
+        upstream.in_flight -= 1
+        return upstream
+
 
 class RequestHandler:
     """Answers the requests of callers."""
@@ -72,6 +109,8 @@
         allowances: Allowances,
         repeats: RepeatBudget,
         attempts: Attempts,
+        waiting: WaitingRoom,
+        count_sharers: Callable[[], int],
         clock: Clock,
     ) -> None:
         self._facts = facts
@@ -80,6 +119,8 @@
         self._allowances = allowances
         self._repeats = repeats
         self._attempts = attempts
+        self._waiting = waiting
+        self._count_sharers = count_sharers
         self._clock = clock
         self._splitter = Splitter()
 
@@ -129,35 +170,62 @@
             left = journey.deadline - self._clock.now()
             if left <= 0.0:
                 return self._give_up(journey, "out of time")
-            place = self._placement.choose(
-                Wish(
-                    service=journey.service,
-                    affinity=journey.request.fields.affinity,
-                    regions=journey.regions,
-                    tried=frozenset(journey.tried),
-                )
-            )
-            if place is None:
-                return self._give_up(journey, "no upstream")
-            wait = self._admission.refuse_for(journey.route, place, left)
-            if wait is not None:
+            upstream = self._find_place(journey, left)
+            if upstream is None:
+                wait = self._admission.retry_delay(journey.route)
                 return self._give_up(journey, "no room", wait)
+            left = journey.deadline - self._clock.now()
             if journey.reached and not self._repeats.take(journey.service):
                 return self._give_up(journey, "no repeats left")
-            answer = self._attempt(journey, place, left)
+            answer = self._attempt(journey, upstream, left)
             if answer is not None:
                 return answer
 
+    def _find_place(self, journey: _Journey, left: Millis) -> UpstreamState | None:
+        """Return an upstream with a free slot, waiting for one while there is time."""
+        route = journey.route
+        candidates = self._placement.candidates(
+            Wish(
+                service=journey.service,
+                object_name=journey.object_name(),
+                regions=journey.regions,
+                tried=frozenset(journey.tried),
+            ),
+            self._admission.stay(route),
+        )
+        longest = self._admission.longest_wait(route, left)
+        if not candidates.upstreams or longest <= 0.0:
+            return None
+        urgency = journey.urgency()
+        ahead = self._waiting.count_ahead(urgency, candidates)
+        if not ahead:
+            upstream = self._placement.pick(candidates, 0.0)
+            if upstream is not None:
+                return upstream
+        slots = candidates.upstreams[0].record.slots / self._count_sharers()
+        if self._admission.expected_wait(route, ahead, slots) > longest:
+            return None
+        seat = _Seat()
+        number = self._waiting.enter(urgency, candidates, seat)
+        try:
+            return seat.await_offer(longest)
+        finally:
+            self._waiting.leave(number)
+
     def _attempt(
-        self, journey: _Journey, place: Place, left: Millis
+        self, journey: _Journey, upstream: UpstreamState, left: Millis
     ) -> CallerAnswer | None:
         """Try one upstream; return the final answer unless another may be tried."""
         journey.request.may_cancel = journey.route.is_idempotent
-        upstream = place.upstream
         journey.tried.add(upstream.record.id)
+        upstream.note_object(journey.object_name())
         outcome = self._attempts.run(
-            upstream, _to_upstream(journey, upstream.record.id, left), left
+            upstream,
+            _to_upstream(journey, upstream.record.id, left),
+            left,
+            journey.route.id,
         )
+        self._waiting.offer_slots()
         journey.last = f"{upstream.record.id}: {_describe(outcome)}"
         if not (isinstance(outcome, NotRun) and not outcome.reached):
             journey.reached += 1
--- a/lagoonlatch/entry/process.py
+++ b/lagoonlatch/entry/process.py
@@ -33,6 +33,7 @@
 from lagoonlatch.steering.lookup import Lookup
 from lagoonlatch.steering.model import CallerLimits, TrafficRules, VmRecord
 from lagoonlatch.steering.placement import Placement
+from lagoonlatch.steering.queueing import WaitingRoom
 from lagoonlatch.steering.repeats import RepeatBudget
 from lagoonlatch.steering.upstreams import Fleet
 
@@ -47,6 +48,10 @@
 HOUSEKEEPING: Millis = 250.0
 """Interval of the small regular tasks."""
 
+OFFER_INTERVAL: Millis = 25.0
+"""How often waiting requests look for slots that others left; below a tenth of the
+shortest work."""
+
 _LOG = structlog.get_logger(__name__)
 
 
@@ -84,6 +89,7 @@
         self._spawn(self._sync.run)
         self._spawn(self._registration.run)
         self._spawn(self._keep_house)
+        self._spawn(self._offer_slots)
         self._stop.wait()
         self._leave()
         _LOG.info("stopped")
@@ -92,7 +98,9 @@
     def _build(self) -> None:
         settings, clock = self._settings, self._clock
         bounds = settings.bounds
-        self._fleet = Fleet(settings.region_by_data_centre, clock)
+        self._fleet = Fleet(
+            settings.region_by_data_centre, self._count_neighbours, clock
+        )
         self._facts = Facts(self._fleet, clock)
         self._sync = StoreSync(self._store, self._facts, clock)
         self._registration = Registration(self._store, self._me, clock)
@@ -107,9 +115,16 @@
             admission,
             clock,
         )
+        placement = Placement(
+            self._fleet,
+            settings.region,
+            settings.region_by_data_centre.values(),
+            self._cold_ramp.take,
+        )
+        self._waiting = WaitingRoom(placement, clock)
         self._handler = RequestHandler(
             self._facts,
-            Placement(self._fleet, settings.region, self._cold_ramp.take),
+            placement,
             admission,
             self._allowances,
             RepeatBudget(
@@ -120,6 +135,8 @@
                 clock,
             ),
             attempts,
+            self._waiting,
+            self._count_neighbours,
             clock,
         )
         self._lookup = Lookup(
@@ -175,6 +192,22 @@
     def _count_vms(self) -> int:
         return len(self._facts.roster | {self._me.id})
 
+    def _count_neighbours(self) -> int:
+        """Return the number of VMs in this region, this one included."""
+        region_of = self._settings.region_by_data_centre.get
+        others = sum(
+            region_of(vm.data_centre) == self._settings.region
+            for vm in self._facts.vms_by_id.values()
+            if vm.id != self._me.id
+        )
+        return others + 1
+
+    def _offer_slots(self) -> None:
+        """Offer slots that other VMs' requests have left."""
+        while True:
+            gevent.sleep(OFFER_INTERVAL / MILLIS_PER_SECOND)
+            self._waiting.offer_slots()
+
     def _keep_house(self) -> None:
         while True:
             gevent.sleep(HOUSEKEEPING / MILLIS_PER_SECOND)
--- a/lagoonlatch/steering/admission.py
+++ b/lagoonlatch/steering/admission.py
@@ -1,21 +1,24 @@
-"""Whether a request may wait at an upstream that has no slot free.
+"""How long a request may wait for a slot, and when a refused one should come back.
 
-The load answered here: more requests than slots. A request that would wait so long
-that its answer came after its time is refused at once, with the time after which
-there is likely room; the less urgent ones are refused earlier.
+The load answered here: more requests than slots. Work that is cut at its timeout is
+lost and leaves the next request as slow, so a request is sent only while there is
+time to finish it; one that would wait too long is refused at once.
 """
 
 from __future__ import annotations
 
 from lagoonlatch.clock import Millis
 from lagoonlatch.steering.model import Route
-from lagoonlatch.steering.placement import Place
 
 DURATION_MEMORY = 0.05
 """Weight of the newest duration in the moving average."""
 
-MOST_WAITING = 2.0
-"""Requests queued at an upstream, as a multiple of its slots; it sheds beyond."""
+SHORTEST_WAIT: Millis = 75.0
+"""A slot may always be waited for so long: loads told by upstreams are as old."""
+
+STAY = 0.5
+"""Part of its duration that a request waits for an upstream that knows its object;
+at one that doesn't it takes several times as long."""
 
 SHORTEST_RETRY: Millis = 200.0
 LONGEST_RETRY: Millis = 2_000.0
@@ -23,27 +26,34 @@
 
 
 class Admission:
-    """Refuses what would come too late."""
+    """Learns how long requests take and bounds their waiting."""
 
     def __init__(self) -> None:
-        self._duration_by_service: dict[str, Millis] = {}
-
-    def note_duration(self, service: str, duration: Millis) -> None:
-        """Take in how long an answered request took."""
-        known = self._duration_by_service.get(service, duration)
-        self._duration_by_service[service] = (
-            known + (duration - known) * DURATION_MEMORY
-        )
-
-    def refuse_for(
-        self, route: Route, place: Place, time_left: Millis
-    ) -> Millis | None:
-        """Return when to come back if the request is refused, None if admitted."""
-        if place.waiting <= 0.0:
-            return None
-        service = place.upstream.record.service
-        duration = self._duration_by_service.get(service, route.goal)
-        wait = place.waiting * duration
-        if place.waiting <= MOST_WAITING and wait + duration < time_left:
-            return None
-        return min(max(wait, SHORTEST_RETRY), LONGEST_RETRY)
+        self._duration_by_route: dict[str, Millis] = {}
+
+    def note_duration(self, route: str, duration: Millis) -> None:
+        """Take in how long an answered request took at its upstream."""
+        known = self._duration_by_route.get(route, duration)
+        self._duration_by_route[route] = known + (duration - known) * DURATION_MEMORY
+
+    def longest_wait(self, route: Route, time_left: Millis) -> Millis:
+        """Return how long a request may wait for a slot; 0 to refuse it now."""
+        duration = self._duration_by_route.get(route.id, 0.0)
+        if duration > time_left:
+            return 0.0
+        in_goal = max(route.goal - duration, SHORTEST_WAIT)
+        return min(in_goal, time_left - duration)
+
+    def stay(self, route: Route) -> Millis:
+        """Return how long a request rather waits than goes where it takes longer."""
+        return self._duration_by_route.get(route.id, route.goal) * STAY
+
+    def expected_wait(self, route: Route, ahead: int, slots: float) -> Millis:
+        """Return how long `ahead` requests take to leave `slots` that they share."""
+        duration = self._duration_by_route.get(route.id, 0.0)
+        return ahead * duration / slots
+
+    def retry_delay(self, route: Route) -> Millis:
+        """Return after which time a refused caller is likely to find room."""
+        duration = self._duration_by_route.get(route.id, route.goal)
+        return min(max(duration, SHORTEST_RETRY), LONGEST_RETRY)
--- a/lagoonlatch/steering/placement.py
+++ b/lagoonlatch/steering/placement.py
@@ -12,14 +12,24 @@
 
 import math
 from collections import defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
+from itertools import repeat
 
+from lagoonlatch.clock import Millis
 from lagoonlatch.membership.rendezvous import weight as hash_of
 from lagoonlatch.steering.upstreams import Fleet, UpstreamState
 
 HASH_RANGE = 2.0**64
 
+CANDIDATES_BY_REGION_RANK = (3, 2)
+"""Upstreams of an object in its first and second region, then one in each; with more,
+each upstream would meet more objects than it remembers."""
+
+FILL = 1.15
+"""Load up to which an upstream is filled, relative to its slots; the estimate errs, and
+a slot that waits for a request is lost."""
+
 FAILING_SHARE = 0.3
 """Share of failed attempts above which an upstream is used only if others are full."""
 
@@ -32,8 +42,8 @@
     ----------
     service : str
         Id of the service.
-    affinity : str
-        The object that it is about; requests without one go where there is room.
+    object_name : str
+        What it is about; a request without one goes where there is most room.
     regions : frozenset of str
         Where it may be served; empty for anywhere.
     tried : frozenset of str
@@ -41,24 +51,25 @@
     """
 
     service: str
-    affinity: str
+    object_name: str
     regions: frozenset[str] = frozenset()
     tried: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, kw_only=True)
-class Place:
-    """A chosen upstream.
+class Candidates:
+    """Upstreams for a request, best first.
 
     Parameters
     ----------
-    waiting : float
-        Requests that come before this one, as a part of the upstream's slots;
-        0 if a slot is free.
+    stays_for : Millis
+        How long the request rather waits for an upstream that knows its object than
+        goes to one that doesn't.
     """
 
-    upstream: UpstreamState
-    waiting: float
+    upstreams: tuple[UpstreamState, ...]
+    object_name: str
+    stays_for: Millis
 
 
 class Placement:
@@ -68,6 +79,8 @@
     ----------
     region : str
         The VM's region.
+    regions : iterable of str
+        The regions that callers are in.
     take_cold : callable
         Takes one of the requests that this VM may send to a cold upstream now;
         returns whether there was one.
@@ -77,66 +90,78 @@
         self,
         fleet: Fleet,
         region: str,
+        regions: Iterable[str],
         take_cold: Callable[[UpstreamState], bool],
     ) -> None:
         self._fleet = fleet
         self._region = region
+        self._region_count = len(set(regions))
         self._take_cold = take_cold
 
-    def choose(self, wish: Wish) -> Place | None:
-        """Return a place; None if no upstream may take the request."""
-        usable = [
-            state
-            for state in self._fleet.usable(wish.service)
-            if state.record.id not in wish.tried
-            and (not wish.regions or state.region in wish.regions)
-        ]
-        ranked = self._rank(wish, usable)
-        return self._first_with_room(ranked) or self._least_waiting(ranked)
-
-    def _rank(self, wish: Wish, usable: Iterable[UpstreamState]) -> list[UpstreamState]:
-        """Return `usable` in the order of preference."""
+    def candidates(self, wish: Wish, stays_for: Millis) -> Candidates:
+        """Return the few upstreams that the request should go to."""
         by_region: dict[str, list[UpstreamState]] = defaultdict(list)
-        for state in usable:
-            by_region[state.region].append(state)
+        for state in self._fleet.usable(wish.service):
+            if not wish.regions or state.region in wish.regions:
+                by_region[state.region].append(state)
         weights = region_weights(
             self._region,
             {
                 region: sum(state.record.slots for state in states)
                 for region, states in by_region.items()
             },
+            self._region_count,
         )
+        name = wish.object_name
         regions = sorted(
-            by_region, key=lambda region: _score(wish.affinity, region, weights[region])
+            by_region, key=lambda region: _score(name, region, weights[region])
         )
         ranked: list[UpstreamState] = []
-        for region in regions:
-            ranked += sorted(by_region[region], key=_order(wish.affinity))
-        # A failing upstream keeps its place only behind those that serve.
-        ranked.sort(key=lambda state: state.failure_share > FAILING_SHARE)
-        return ranked
-
-    def _first_with_room(self, ranked: Iterable[UpstreamState]) -> Place | None:
-        for state in ranked:
-            if state.load() < state.record.slots and self._may_send(state):
-                return Place(upstream=state, waiting=0.0)
-        return None
-
-    def _least_waiting(self, ranked: Iterable[UpstreamState]) -> Place | None:
-        best: Place | None = None
-        for state in ranked:
+        for region, most in zip(regions, _candidates_by_rank(), strict=False):
+            in_region = sorted(by_region[region], key=_order(name))
+            # A failing upstream keeps its place only behind those that serve.
+            in_region.sort(key=lambda state: state.failure_share > FAILING_SHARE)
+            ranked += in_region[:most] if name else in_region
+        return Candidates(
+            upstreams=tuple(s for s in ranked if s.record.id not in wish.tried),
+            object_name=name,
+            stays_for=stays_for,
+        )
+
+    def pick(self, candidates: Candidates, waited: Millis) -> UpstreamState | None:
+        """Return a candidate with a free slot; None to wait on.
+
+        The object's own upstream comes first, then others that know the object, and
+        after `stays_for` any of them.
+        """
+        own = True
+        later: UpstreamState | None = None
+        for state in candidates.upstreams:
             if state.is_cold():
+                if self.has_room(state) and self._take_cold(state):
+                    return state
                 continue
-            waiting = (state.load() + 1.0 - state.record.slots) / state.record.slots
-            if best is None or waiting < best.waiting:
-                best = Place(upstream=state, waiting=max(waiting, 0.0))
-        return best
+            knows = own or state.remembers(candidates.object_name)
+            if self.has_room(state):
+                if knows or not candidates.object_name:
+                    return state
+                later = later or state
+            own = False
+        return later if waited >= candidates.stays_for else None
+
+    def has_room(self, state: UpstreamState) -> bool:
+        """Return whether a slot seems free at an upstream."""
+        return self._fleet.is_usable(state) and state.load() + 1.0 <= state.record.slots
+
 
-    def _may_send(self, state: UpstreamState) -> bool:
-        return not state.is_cold() or self._take_cold(state)
+def _candidates_by_rank() -> Iterator[int]:
+    yield from CANDIDATES_BY_REGION_RANK
+    yield from repeat(1)
 
 
-def region_weights(home: str, slots_by_region: dict[str, int]) -> dict[str, float]:
+def region_weights(
+    home: str, slots_by_region: dict[str, int], region_count: int
+) -> dict[str, float]:
     """Return the part of `home`'s objects that each region is to serve.
 
     Every region is taken to send the same load. A region with less than its share of
@@ -144,7 +169,7 @@
     share, in proportion.
     """
     total = sum(slots_by_region.values())
-    fair = total / max(len(slots_by_region), 1)
+    fair = total / max(region_count, 1)
     own = slots_by_region.get(home, 0)
     kept = min(own / fair, 1.0) if fair else 0.0
     spare_by_region = {
--- /dev/null
+++ b/lagoonlatch/steering/queueing.py
@@ -0,0 +1,104 @@
+"""Requests that wait for a slot, the most urgent ones first.
+
+The load answered here: bursts and slow upstreams, where for some time all upstreams
+of an object are full. A slot that becomes free goes to the most urgent request that
+may use it, among equals to the one that came first.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from lagoonlatch.clock import Clock, Millis
+from lagoonlatch.steering.placement import Candidates
+from lagoonlatch.steering.upstreams import UpstreamState
+
+
+class Picker(Protocol):
+    """Chooses among candidates."""
+
+    def pick(self, candidates: Candidates, waited: Millis) -> UpstreamState | None:
+        """Return a candidate with a free slot; None to wait on."""
+
+
+class Seat(Protocol):
+    """Tells a waiting request its place; called once."""
+
+    def offer(self, upstream: UpstreamState) -> None:
+        """Take the place."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Urgency:
+    """The rank of a request: organisation, then route; lower is more urgent."""
+
+    organisation: int
+    route: int
+
+    def key(self) -> tuple[int, int]:
+        """Return what orders requests."""
+        return self.organisation, self.route
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Waiter:
+    urgency: Urgency
+    number: int
+    candidates: Candidates
+    since: Millis
+    seat: Seat
+
+    def key(self) -> tuple[tuple[int, int], int]:
+        return self.urgency.key(), self.number
+
+
+class WaitingRoom:
+    """The waiting requests of one VM."""
+
+    def __init__(self, picker: Picker, clock: Clock) -> None:
+        self._picker = picker
+        self._clock = clock
+        self._waiters: list[_Waiter] = []
+        self._next_number = 0
+
+    def __len__(self) -> int:
+        return len(self._waiters)
+
+    def enter(self, urgency: Urgency, candidates: Candidates, seat: Seat) -> int:
+        """Queue a request and return its number, which `leave` takes."""
+        number = self._next_number
+        self._next_number += 1
+        self._waiters.append(
+            _Waiter(
+                urgency=urgency,
+                number=number,
+                candidates=candidates,
+                since=self._clock.now(),
+                seat=seat,
+            )
+        )
+        self._waiters.sort(key=_Waiter.key)
+        return number
+
+    def leave(self, number: int) -> None:
+        """Forget a request that waits no more."""
+        self._waiters = [w for w in self._waiters if w.number != number]
+
+    def count_ahead(self, urgency: Urgency, candidates: Candidates) -> int:
+        """Return how many requests, as urgent or more, wait for the first candidate."""
+        first = candidates.upstreams[0]
+        return sum(
+            waiter.urgency.key() <= urgency.key()
+            and waiter.candidates.upstreams[0] is first
+            for waiter in self._waiters
+        )
+
+    def offer_slots(self) -> None:
+        """Give free slots to those who wait, in order."""
+        now = self._clock.now()
+        for waiter in list(self._waiters):
+            upstream = self._picker.pick(waiter.candidates, now - waiter.since)
+            if upstream is not None:
+                self.leave(waiter.number)
+                waiter.seat.offer(upstream)
--- a/lagoonlatch/steering/upstreams.py
+++ b/lagoonlatch/steering/upstreams.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 import math
-from collections import defaultdict
-from collections.abc import Iterable, Iterator, Mapping
+from collections import OrderedDict, defaultdict
+from collections.abc import Callable, Iterable, Iterator, Mapping
 
 from lagoonlatch.clock import Clock, Millis
 from lagoonlatch.steering.model import Service, UpstreamRecord
 
 LOAD_MEMORY: Millis = 700.0
-"""Time constant with which a reported load of other VMs fades; about one request."""
+"""Time constant with which a reported load of other VMs gives way to the guess that
+they send as much as this one; about the time of two requests."""
+
+WARM_OBJECTS = 24
+"""Objects that an upstream is taken to remember; it doesn't say how many it does."""
 
 FAILURE_MEMORY = 0.1
 """Weight of the newest outcome in the moving average of failures."""
@@ -32,7 +36,13 @@
         Whether it must answer a health check before it gets requests again.
     """
 
-    def __init__(self, record: UpstreamRecord, region: str, clock: Clock) -> None:
+    def __init__(
+        self,
+        record: UpstreamRecord,
+        region: str,
+        count_sharers: Callable[[], int],
+        clock: Clock,
+    ) -> None:
         self.record = record
         self.region = region
         self.in_flight = 0
@@ -40,6 +50,8 @@
         self.is_suspect = False
         self.is_gone = False
         self._clock = clock
+        self._count_sharers = count_sharers
+        self._objects: OrderedDict[str, None] = OrderedDict()
         self._cold_until: Millis = -math.inf
         self._others = 0.0
         self._reported: Millis = -math.inf
@@ -47,7 +59,20 @@
     def load(self) -> float:
         """Return the estimated number of requests that it runs or queues."""
         age = self._clock.now() - self._reported
-        return self.in_flight + self._others * math.exp(-age / LOAD_MEMORY)
+        trust = math.exp(-age / LOAD_MEMORY)
+        guess = self.in_flight * (self._count_sharers() - 1)
+        return self.in_flight + self._others * trust + guess * (1.0 - trust)
+
+    def note_object(self, name: str) -> None:
+        """Remember that it was sent a request for the object `name`."""
+        self._objects[name] = None
+        self._objects.move_to_end(name)
+        if len(self._objects) > WARM_OBJECTS:
+            self._objects.popitem(last=False)
+
+    def remembers(self, name: str) -> bool:
+        """Return whether it is likely to be fast for the object `name`."""
+        return name in self._objects
 
     def report_load(self, requests: int, own: int) -> None:
         """Take in its own count of `requests`, `own` of which were this VM's."""
@@ -89,8 +114,14 @@
         The installation's data centres.
     """
 
-    def __init__(self, region_by_data_centre: Mapping[str, str], clock: Clock) -> None:
+    def __init__(
+        self,
+        region_by_data_centre: Mapping[str, str],
+        count_sharers: Callable[[], int],
+        clock: Clock,
+    ) -> None:
         self._region_by_data_centre = region_by_data_centre
+        self._count_sharers = count_sharers
         self._clock = clock
         self._states_by_id: dict[str, UpstreamState] = {}
         self._states_by_service: dict[str, dict[str, UpstreamState]] = defaultdict(dict)
@@ -167,19 +198,22 @@
         return frozenset(self._states_by_id)
 
     def usable(self, service: str) -> Iterator[UpstreamState]:
-        """Yield the upstreams of a service that may get requests."""
-        for state in self.of_service(service):
-            if not (
-                state.record.is_draining
-                or state.is_suspect
-                or state.record.data_centre in self._evacuated
-            ):
-                yield state
+        """Return the upstreams of a service that may get requests."""
+        return filter(self.is_usable, self.of_service(service))
+
+    def is_usable(self, state: UpstreamState) -> bool:
+        """Return whether an upstream may get requests."""
+        return not (
+            state.is_gone
+            or state.record.is_draining
+            or state.is_suspect
+            or state.record.data_centre in self._evacuated
+        )
 
     def _add(
         self, record: UpstreamRecord, region: str, was_running: bool
     ) -> UpstreamState:
-        state = UpstreamState(record, region, self._clock)
+        state = UpstreamState(record, region, self._count_sharers, self._clock)
         self._states_by_id[record.id] = state
         self._states_by_service[record.service][record.id] = state
         remembered = self._born_by_id.pop(record.id, None)
