Notice a store connection that went silent

Change: keep-alive probes and a bound on unacknowledged bytes on connections to the store and to upstreams; shorter pauses between calls to a store that fails.

--- a/lagoonlatch/entry/exchange.py
+++ b/lagoonlatch/entry/exchange.py
@@ -19,6 +19,7 @@
     UpstreamRequest,
 )
 from lagoonlatch.platform.headers import is_stamp, read_answer_fields
+from lagoonlatch.sockets import detect_silence
 
 CONNECT_TIMEOUT: Millis = 400.0
 """Some round trips between regions; a lost opening packet is not waited for."""
@@ -64,9 +65,7 @@
         seconds = max(min(timeout, CONNECT_TIMEOUT), 1.0) / MILLIS_PER_SECOND
         sock = socket.create_connection((host, int(port)), timeout=seconds)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(UNACKNOWLEDGED_TIMEOUT)
-        )
+        detect_silence(sock, UNACKNOWLEDGED_TIMEOUT)
         return cls(sock, clock)
 
     def idle_time(self) -> Millis:
--- a/lagoonlatch/entry/sync.py
+++ b/lagoonlatch/entry/sync.py
@@ -22,7 +22,7 @@
 changes of several upstreams; a small part of the time in which a change must count."""
 
 RETRY_FIRST: Millis = 150.0
-RETRY_MOST: Millis = 1_000.0
+RETRY_MOST: Millis = 500.0
 """Bounds of the growing pause between calls to a store that fails."""
 
 OUTAGE: Millis = 1_000.0
--- a/lagoonlatch/platform/connections.py
+++ b/lagoonlatch/platform/connections.py
@@ -14,9 +14,14 @@
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Millis
 from lagoonlatch.platform.endpoint import Endpoint
+from lagoonlatch.sockets import detect_silence
 
 DEFAULT_CONNECTIONS = 8
 DEFAULT_TIMEOUT: Millis = 2_000.0
+SILENCE_TIMEOUT: Millis = 2_000.0
+"""A store that acknowledges nothing for so long is out of reach; a waiting watch would
+otherwise not notice before its wait ends."""
+
 JSON_HEADERS = {"Content-Type": "application/json"}
 
 
@@ -89,8 +94,9 @@
         return super()._connect_socket(sock, address)
 
     def after_connect(self, sock: socket) -> None:
-        """Send small requests at once."""
+        """Send small requests at once and notice a peer that is out of reach."""
         sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+        detect_silence(sock, SILENCE_TIMEOUT)
 
     def get_socket(self) -> socket:
         """Take a socket for the greenlet's call."""
