Bound a watch's wait by the settling time; stop reading before the end

Change 1: no watch waits longer than the settling time less 0.5 s. Change 2: after 3 s it answers new requests with 503 and ends when all is answered.

--- a/lagoonlatch/entry/connection.py
+++ b/lagoonlatch/entry/connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -58,7 +59,10 @@
 class _Closed:
     """The caller closed the connection or stayed idle too long."""
 
-    is_idle: bool = False
+
+@dataclass(frozen=True)
+class _Ending:
+    """The end has been announced to the caller; what arrives now counts as unread."""
 
 
 class _Pending:
@@ -122,9 +126,11 @@
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is under way."""
-        if self.is_idle:
+        if self.is_idle and not self._is_ending:
             self._is_ending = True
-            self._sock.shutdown(socket.SHUT_RDWR)
+            with contextlib.suppress(OSError):
+                # The caller may have closed it first.
+                self._sock.shutdown(socket.SHUT_WR)
 
     def _read_requests(self) -> None:
         while not self._is_ending:
@@ -145,12 +151,14 @@
             failure = result.failure()
             if isinstance(failure, _Closed):
                 return
+            if isinstance(failure, _Ending):
+                break
             self._reject(pending, failure)
         self._await_end()
 
     def _read_request(
         self, pending: _Pending, limits: CallerLimits
-    ) -> Result[CallerRequest, _Rejected | _Closed]:
+    ) -> Result[CallerRequest, _Rejected | _Closed | _Ending]:
         parser = pending.parser
         if self._unread:
             parser.receive_data(self._unread)
@@ -174,6 +182,8 @@
                     return Failure(_Rejected(HTTPStatus.REQUEST_TIMEOUT, reason))
                 if data == b"":
                     return Failure(_Closed())
+                if self._is_ending:
+                    return Failure(_Ending())
                 started = started or self._clock.now()
                 parser.receive_data(data)
             elif isinstance(event, h11.Request):
--- a/lagoonlatch/entry/handling.py
+++ b/lagoonlatch/entry/handling.py
@@ -42,6 +42,9 @@
 UNREADY_RETRY: Millis = 1_000.0
 """When to come back to a VM that knows no configuration yet."""
 
+LEAVING_RETRY: Millis = 10.0
+"""Another VM can take the request at once."""
+
 NO_UPSTREAM_RETRY: Millis = 500.0
 """When to come back if no upstream may take the request."""
 
@@ -123,10 +126,17 @@
         self._count_sharers = count_sharers
         self._clock = clock
         self._splitter = Splitter()
+        self._is_closed = False
+
+    def close(self) -> None:
+        """Refuse further requests, since the VM is about to end."""
+        self._is_closed = True
 
     def handle(self, request: CallerRequest) -> CallerAnswer:
         """Return the final answer to a request."""
         rules = self._facts.rules
+        if self._is_closed:
+            return _refusal(LEAVING_RETRY)
         if rules is None:
             return _refusal(UNREADY_RETRY)
         route = rules.find_route(request.host, request.path)
--- a/lagoonlatch/entry/process.py
+++ b/lagoonlatch/entry/process.py
@@ -39,8 +39,12 @@
 
 BACKLOG = 1_024
 
-LINGER: Millis = 3_500.0
-"""A leaving VM still answers callers that use an older look-up for so long."""
+LINGER: Millis = 3_000.0
+"""A leaving VM takes requests for so long, from callers with an older look-up; after
+that it only ends those that it has taken."""
+
+DRAIN_POLL: Millis = 50.0
+"""How often a leaving VM looks whether all is answered."""
 
 END_MARGIN: Millis = 700.0
 """A leaving VM is done so long before it would be killed."""
@@ -102,7 +106,7 @@
             settings.region_by_data_centre, self._count_neighbours, clock
         )
         self._facts = Facts(self._fleet, clock)
-        self._sync = StoreSync(self._store, self._facts, clock)
+        self._sync = StoreSync(self._store, self._facts, bounds.settle_time, clock)
         self._registration = Registration(self._store, self._me, clock)
         self._cold_ramp = ColdRamp(settings.vm, lambda: self._facts.vms_by_id, clock)
         self._allowances = Allowances(self._count_vms, settings.is_first_start, clock)
@@ -227,15 +231,17 @@
         started = self._clock.now()
         _LOG.info("stopping", connections=len(self._connections))
         gevent.spawn(self._registration.leave)
+        gevent.sleep(LINGER / MILLIS_PER_SECOND)
+        self._handler.close()
+        self._server.stop_accepting()
         end = started + self._settings.bounds.stop_grace - END_MARGIN
         while self._clock.now() < end:
-            gevent.sleep(0.05)
-            lingered = self._clock.now() - started >= LINGER
-            if lingered and all(c.is_idle for c in self._connections):
-                break
-        self._server.stop_accepting()
-        for connection in list(self._connections):
-            connection.close_if_idle()
+            for connection in list(self._connections):
+                connection.close_if_idle()
+            if not self._connections:
+                return
+            gevent.sleep(DRAIN_POLL / MILLIS_PER_SECOND)
+        _LOG.warning("stopped_with_requests", connections=len(self._connections))
 
     def _spawn(self, task) -> None:
         """Run a task that lasts as long as the process."""
--- a/lagoonlatch/entry/sync.py
+++ b/lagoonlatch/entry/sync.py
@@ -14,10 +14,13 @@
 from lagoonlatch.platform.kv import HistoryGone, KeyValueStore, Watch
 from lagoonlatch.platform.store import StoreError
 
-WATCH_WAIT: Millis = 25_000.0
-"""How long a watch waits; each is a call, and the store allows 30 s."""
+LONGEST_WAIT: Millis = 25_000.0
+"""The store lets a watch wait for 30 s."""
 
-GATHER: Millis = 300.0
+WAIT_MARGIN: Millis = 500.0
+"""What is left of the settling time after a wait: for a new reading."""
+
+GATHER: Millis = 400.0
 """Pause between an answer of the watch and the next call, so that one call brings the
 changes of several upstreams; a small part of the time in which a change must count."""
 
@@ -36,18 +39,27 @@
 
     Parameters
     ----------
+    settle_time : Millis
+        A store that drops its history may leave a waiting watch without its changes;
+        since a new call tells so, no call waits for this long.
     prefix : str
         The keys followed.
     """
 
     def __init__(
-        self, store: KeyValueStore, facts: Facts, clock: Clock, prefix: str = ""
+        self,
+        store: KeyValueStore,
+        facts: Facts,
+        settle_time: Millis,
+        clock: Clock,
+        prefix: str = "",
     ) -> None:
         self._store = store
         self._facts = facts
         self._clock = clock
         self._prefix = prefix
-        self._watch: Watch = store.open_watch(prefix, WATCH_WAIT)
+        wait = min(settle_time - WAIT_MARGIN, LONGEST_WAIT)
+        self._watch: Watch = store.open_watch(prefix, wait)
         self._revision: int | None = None
         self._failing_since: Millis | None = None
         self._pause = RETRY_FIRST
--- a/lagoonlatch/platform/settings_file.py
+++ b/lagoonlatch/platform/settings_file.py
@@ -20,6 +20,8 @@
 
     Parameters
     ----------
+    settle_time : Millis
+        After a disturbance of a VM or the store, all bounds hold again after this.
     drain_time : Millis
         A leaving upstream gets nothing new after this.
     stop_grace : Millis
@@ -32,6 +34,7 @@
         Callers keep an answer of the directory no longer.
     """
 
+    settle_time: Millis = 3_000.0
     drain_time: Millis = 2_500.0
     stop_grace: Millis = 6_000.0
     retry_ratio: float = 0.2
@@ -137,6 +140,7 @@
 
 _SECONDS = MILLIS_PER_SECOND
 _FIELD_AND_UNIT_BY_BOUND = {
+    "contact_s": ("settle_time", _SECONDS),
     "drain_s": ("drain_time", _SECONDS),
     "grace_s": ("stop_grace", _SECONDS),
     "retry_ratio": ("retry_ratio", 1.0),
