Let the VMs tell each other their loads and lend tokens

And the guess of other VMs' loads is coarse where upstreams have 3 slots. Ruled out: allowances really spent (25 of 8,600 requests weren't owed). Change: datagrams between the VMs (thrift): requests in flight by upstream, spare tokens by organisation, asks and loans of tokens, which the lender takes off before it sends them. A silent VM leaves the directory before its lease ends.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 export PYTHONPATH := $(CURDIR)
 
-.PHONY: setup test lint demo bench binary generate
+.PHONY: setup test lint demo bench binary generate generate-entry
 
 setup: $(VENV)/.ready
 
@@ -30,7 +30,14 @@
 bench: setup
 	$(BIN)/python -m lagoonlatch.load --out benchmarks/results/bench.json
 
-generate:
+generate-entry:
+	mkdir -p build/generated
+	thrift --gen py -out build/generated lagoonlatch/entry/peer.thrift
+	rm -rf lagoonlatch/entry/generated
+	mkdir lagoonlatch/entry/generated
+	cp build/generated/peer/*.py lagoonlatch/entry/generated/
+
+generate: generate-entry
 	mkdir -p build/generated
 	thrift --gen py -out build/generated lagoonlatch/vms/peer.thrift
 	rm -rf lagoonlatch/vms/generated
--- a/lagoonlatch/entry/facts.py
+++ b/lagoonlatch/entry/facts.py
@@ -41,6 +41,8 @@
         None until a configuration is known.
     vms_by_id : dict of str to VmRecord
         The VMs with a live entry.
+    known_vms_by_id : dict of str to VmRecord
+        The newest entry of each VM, also of those whose entry is gone.
     roster : set of str
         Ids of all VMs that share what is divided among VMs.
     """
@@ -49,6 +51,7 @@
         self.fleet = fleet
         self.rules: TrafficRules | None = None
         self.vms_by_id: dict[str, VmRecord] = {}
+        self.known_vms_by_id: dict[str, VmRecord] = {}
         self.roster: set[str] = set()
         self._clock = clock
         self._evacuated: set[str] = set()
@@ -178,4 +181,5 @@
             return
         record = decoded.unwrap()
         self.vms_by_id[record.id] = record
+        self.known_vms_by_id[record.id] = record
         _LOG.info("vm", subject=record.id, ready=record.is_ready, run=record.run)
--- a/lagoonlatch/entry/handling.py
+++ b/lagoonlatch/entry/handling.py
@@ -114,6 +114,7 @@
         attempts: Attempts,
         waiting: WaitingRoom,
         count_sharers: Callable[[], int],
+        borrow: Callable[[str], bool],
         clock: Clock,
     ) -> None:
         self._facts = facts
@@ -124,6 +125,7 @@
         self._attempts = attempts
         self._waiting = waiting
         self._count_sharers = count_sharers
+        self._borrow = borrow
         self._clock = clock
         self._splitter = Splitter()
         self._is_closed = False
@@ -163,7 +165,7 @@
             deadline=request.received + allowed,
         )
         if organisation is not None:
-            wait = self._allowances.take(organisation.id)
+            wait = self._take_token(organisation.id)
             if wait is not None:
                 self._log(journey, HTTPStatus.TOO_MANY_REQUESTS, "over allowance")
                 return CallerAnswer(
@@ -175,6 +177,13 @@
             self._allowances.give_back(organisation.id)
         return answer
 
+    def _take_token(self, organisation: str) -> Millis | None:
+        """Return None, or when to come back if the allowance is spent."""
+        wait = self._allowances.take(organisation)
+        if wait is not None and self._borrow(organisation):
+            wait = self._allowances.retake(organisation)
+        return wait
+
     def _travel(self, journey: _Journey) -> CallerAnswer:
         while True:
             left = journey.deadline - self._clock.now()
--- /dev/null
+++ b/lagoonlatch/entry/peers.py
@@ -0,0 +1,206 @@
+"""Datagrams between the entry VMs: loads, tokens, suspects."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable
+
+import gevent
+import structlog
+from gevent import socket
+from gevent.event import AsyncResult
+from thrift.protocol.TBinaryProtocol import TBinaryProtocolAcceleratedFactory
+from thrift.TSerialization import deserialize, serialize
+
+from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
+from lagoonlatch.entry.generated.ttypes import Ask, Datagram, Loan, Tell
+from lagoonlatch.steering.allowances import Allowances
+from lagoonlatch.steering.model import VmRecord
+from lagoonlatch.steering.peers import PeerTable, Telling
+
+NEAR_INTERVAL: Millis = 100.0
+"""Between tells to VMs of the region, with which the upstreams are shared; a part of
+the shortest work."""
+
+FAR_EVERY = 4
+"""VMs of other regions are told every so many intervals; their bytes cost more."""
+
+LOAN_PATIENCE: Millis = 200.0
+"""A loan from the farthest region takes a round trip and some scheduling."""
+
+LOAN_PAUSE: Millis = 100.0
+"""Between rounds of borrowing ahead of demand."""
+
+MAX_DATAGRAM = 8_192
+"""Largest datagram that is read; what VMs tell stays far below."""
+
+_LOG = structlog.get_logger(__name__)
+_PROTOCOL = TBinaryProtocolAcceleratedFactory()
+
+
+class PeerLink:
+    """The datagram socket of a VM.
+
+    Parameters
+    ----------
+    me : VmRecord
+        This VM.
+    list_peers : callable
+        Returns the other VMs, those of this region with True.
+    in_flight_by_upstream : callable
+        Returns this VM's requests at each upstream.
+    is_leaving : callable
+        Returns whether this VM leaves.
+    """
+
+    def __init__(
+        self,
+        me: VmRecord,
+        list_peers: Callable[[], Iterable[tuple[VmRecord, bool]]],
+        in_flight_by_upstream: Callable[[], dict[str, int]],
+        is_leaving: Callable[[], bool],
+        allowances: Allowances,
+        table: PeerTable,
+        clock: Clock,
+    ) -> None:
+        self._me = me
+        self._list_peers = list_peers
+        self._in_flight_by_upstream = in_flight_by_upstream
+        self._is_leaving = is_leaving
+        self._allowances = allowances
+        self._table = table
+        self._clock = clock
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._address_by_vm: dict[str, tuple[str, int]] = {}
+        self._pending_by_organisation: dict[str, AsyncResult] = {}
+        self._organisation_by_number: dict[int, str] = {}
+
+    def listen(self) -> None:
+        """Take the VM's port."""
+        self._sock.bind(_to_endpoint(self._me.peer_address))
+
+    def tell(self) -> None:
+        """Tell the other VMs for ever."""
+        turn = 0
+        while True:
+            self._tell_all(with_far=turn % FAR_EVERY == 0)
+            turn += 1
+            gevent.sleep(NEAR_INTERVAL / MILLIS_PER_SECOND)
+
+    def tell_leaving(self) -> None:
+        """Tell all at once that this VM leaves."""
+        self._tell_all(with_far=True)
+
+    def receive(self) -> None:
+        """Take datagrams for ever."""
+        while True:
+            try:
+                data, address = self._sock.recvfrom(MAX_DATAGRAM)
+            except OSError as error:
+                # A peer's closed port is reported on the socket.
+                _LOG.debug("peer_port_closed", why=str(error))
+                continue
+            try:
+                datagram = deserialize(Datagram(), data, _PROTOCOL)
+            except Exception as error:
+                # Whatever the codec raises: the bytes are no datagram of a peer.
+                _LOG.warning("datagram_unreadable", source=address[0], why=repr(error))
+                continue
+            self._take(datagram, address)
+
+    def borrow_ahead(self) -> None:
+        """Borrow for organisations that run short, for ever."""
+        while True:
+            gevent.sleep(LOAN_PAUSE / MILLIS_PER_SECOND)
+            for organisation in self._allowances.wanted_by_id():
+                self._ask(organisation)
+
+    def borrow(self, organisation: str) -> bool:
+        """Wait for a loan; return False at once if nobody has anything to lend."""
+        pending = self._ask(organisation)
+        if pending is None:
+            return False
+        try:
+            return bool(pending.get(timeout=LOAN_PATIENCE / MILLIS_PER_SECOND))
+        except gevent.Timeout:
+            return False
+
+    def _ask(self, organisation: str) -> AsyncResult | None:
+        pending = self._pending_by_organisation.get(organisation)
+        if pending is not None:
+            return pending
+        wanted = self._allowances.wanted(organisation)
+        lender = self._table.best_lender(organisation)
+        address = self._address_by_vm.get(lender or "")
+        if not wanted or lender is None or address is None:
+            return None
+        self._table.note_asked(lender, organisation, wanted)
+        number = random.getrandbits(62)
+        pending = AsyncResult()
+        self._pending_by_organisation[organisation] = pending
+        self._organisation_by_number[number] = organisation
+        ask = Ask(self._me.id, number, organisation, wanted)
+        self._send(Datagram(ask=ask), address)
+        gevent.spawn_later(
+            LOAN_PATIENCE / MILLIS_PER_SECOND, self._finish_ask, number, 0
+        )
+        return pending
+
+    def _finish_ask(self, number: int, tokens: int) -> None:
+        organisation = self._organisation_by_number.pop(number, None)
+        if organisation is None:
+            return
+        self._allowances.receive(organisation, tokens)
+        pending = self._pending_by_organisation.pop(organisation, None)
+        if pending is not None:
+            pending.set(tokens)
+
+    def _take(self, datagram: Datagram, address: tuple[str, int]) -> None:
+        if datagram.tell is not None:
+            self._table.hear(_to_telling(datagram.tell))
+        elif datagram.ask is not None:
+            ask = datagram.ask
+            lent = self._allowances.lend(ask.organisation, ask.tokens)
+            loan = Loan(ask.number, ask.organisation, lent)
+            self._send(Datagram(loan=loan), address)
+        elif datagram.loan is not None:
+            self._finish_ask(datagram.loan.number, datagram.loan.tokens)
+
+    def _tell_all(self, with_far: bool) -> None:
+        tell = Tell(
+            vm=self._me.id,
+            run=self._me.run,
+            leaving=self._is_leaving(),
+            in_flight_by_upstream=self._in_flight_by_upstream(),
+            spare_by_organisation=self._allowances.spare_by_id(),
+        )
+        data = serialize(Datagram(tell=tell), _PROTOCOL)
+        for peer, is_near in self._list_peers():
+            address = _to_endpoint(peer.peer_address)
+            self._address_by_vm[peer.id] = address
+            if is_near or with_far:
+                self._send_bytes(data, address)
+
+    def _send(self, datagram: Datagram, address: tuple[str, int]) -> None:
+        self._send_bytes(serialize(datagram, _PROTOCOL), address)
+
+    def _send_bytes(self, data: bytes, address: tuple[str, int]) -> None:
+        try:
+            self._sock.sendto(data, address)
+        except OSError as error:
+            _LOG.debug("datagram_not_sent", peer=address[0], why=str(error))
+
+
+def _to_endpoint(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def _to_telling(tell: Tell) -> Telling:
+    return Telling(
+        vm=tell.vm,
+        run=tell.run,
+        is_leaving=tell.leaving,
+        in_flight_by_upstream=tell.in_flight_by_upstream or {},
+        spare_by_organisation=tell.spare_by_organisation or {},
+    )
--- a/lagoonlatch/entry/process.py
+++ b/lagoonlatch/entry/process.py
@@ -19,6 +19,7 @@
 from lagoonlatch.entry.doors import serve_lookups, serve_readiness
 from lagoonlatch.entry.facts import Facts
 from lagoonlatch.entry.handling import RequestHandler
+from lagoonlatch.entry.peers import PeerLink
 from lagoonlatch.entry.pool import ConnectionPool
 from lagoonlatch.entry.probes import Prober
 from lagoonlatch.entry.registration import Registration
@@ -32,6 +33,7 @@
 from lagoonlatch.steering.cold import ColdRamp
 from lagoonlatch.steering.lookup import Lookup
 from lagoonlatch.steering.model import CallerLimits, TrafficRules, VmRecord
+from lagoonlatch.steering.peers import PeerTable
 from lagoonlatch.steering.placement import Placement
 from lagoonlatch.steering.queueing import WaitingRoom
 from lagoonlatch.steering.repeats import RepeatBudget
@@ -90,6 +92,10 @@
         gevent.signal_handler(signal.SIGHUP, self._reload)
         _LOG.info("started", first_start=self._settings.is_first_start)
         self._listen()
+        self._peers.listen()
+        self._spawn(self._peers.receive)
+        self._spawn(self._peers.tell)
+        self._spawn(self._peers.borrow_ahead)
         self._spawn(self._sync.run)
         self._spawn(self._registration.run)
         self._spawn(self._keep_house)
@@ -102,14 +108,27 @@
     def _build(self) -> None:
         settings, clock = self._settings, self._clock
         bounds = settings.bounds
+        self._peer_table = PeerTable(clock)
         self._fleet = Fleet(
-            settings.region_by_data_centre, self._count_neighbours, clock
+            settings.region_by_data_centre,
+            self._count_neighbours,
+            self._peer_table.requests_at,
+            clock,
         )
         self._facts = Facts(self._fleet, clock)
         self._sync = StoreSync(self._store, self._facts, bounds.settle_time, clock)
         self._registration = Registration(self._store, self._me, clock)
         self._cold_ramp = ColdRamp(settings.vm, lambda: self._facts.vms_by_id, clock)
         self._allowances = Allowances(self._count_vms, settings.is_first_start, clock)
+        self._peers = PeerLink(
+            self._me,
+            self._list_peers,
+            self._fleet.in_flight_by_id,
+            self._stop.is_set,
+            self._allowances,
+            self._peer_table,
+            clock,
+        )
         self._pool = ConnectionPool(clock)
         admission = Admission()
         attempts = Attempts(
@@ -141,6 +160,7 @@
             attempts,
             self._waiting,
             self._count_neighbours,
+            self._peers.borrow,
             clock,
         )
         self._lookup = Lookup(
@@ -184,27 +204,38 @@
         return self._facts.rules is not None and not self._stop.is_set()
 
     def _ready_vms(self) -> list[VmRecord]:
-        vms = [
-            vm
-            for vm in self._facts.vms_by_id.values()
-            if vm.is_ready and vm.id != self._me.id
-        ]
+        vms = [vm for vm in self._other_vms() if vm.is_ready]
+        heard = [vm for vm in vms if not self._peer_table.is_silent(vm.id)]
+        # A VM that hears few others is cut off itself.
+        if len(heard) * 2 >= len(vms):
+            vms = heard
         if self._is_ready():
             vms.append(self._me)
         return vms
 
+    def _other_vms(self) -> list[VmRecord]:
+        """Return the VMs with a live entry, and those still heard without one."""
+        return [
+            vm
+            for vm in self._facts.known_vms_by_id.values()
+            if vm.id != self._me.id
+            and not self._peer_table.is_leaving(vm.id, vm.run)
+            and (vm.id in self._facts.vms_by_id or self._peer_table.is_heard(vm.id))
+        ]
+
+    def _list_peers(self) -> list[tuple[VmRecord, bool]]:
+        region_of = self._settings.region_by_data_centre.get
+        return [
+            (vm, region_of(vm.data_centre) == self._settings.region)
+            for vm in self._other_vms()
+        ]
+
     def _count_vms(self) -> int:
         return len(self._facts.roster | {self._me.id})
 
     def _count_neighbours(self) -> int:
         """Return the number of VMs in this region, this one included."""
-        region_of = self._settings.region_by_data_centre.get
-        others = sum(
-            region_of(vm.data_centre) == self._settings.region
-            for vm in self._facts.vms_by_id.values()
-            if vm.id != self._me.id
-        )
-        return others + 1
+        return 1 + sum(is_near for _, is_near in self._list_peers())
 
     def _offer_slots(self) -> None:
         """Offer slots that other VMs' requests have left."""
@@ -230,6 +261,7 @@
         """Answer what has been read, send callers elsewhere, then end."""
         started = self._clock.now()
         _LOG.info("stopping", connections=len(self._connections))
+        self._peers.tell_leaving()
         gevent.spawn(self._registration.leave)
         gevent.sleep(LINGER / MILLIS_PER_SECOND)
         self._handler.close()
--- a/lagoonlatch/steering/allowances.py
+++ b/lagoonlatch/steering/allowances.py
@@ -1,13 +1,14 @@
 """Each organisation's rate and burst over all VMs, divided among them.
 
-The load answered here: an organisation's callers ask many VMs at once, unevenly. Each
-VM holds an even part of the rate and of the burst. What a VM has left over it can
-hand to another one; tokens are taken off before they are sent, so that a lost message
-loses tokens and never doubles them.
+The load answered here: an organisation's callers ask many VMs at once, unevenly, and
+move between them within seconds. Each VM holds an even part of the rate and of the
+burst. What a VM has left over it lends to one that runs short; tokens are taken off
+before they are sent, so that a lost message loses tokens and never doubles them.
 """
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Mapping
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
@@ -19,12 +20,39 @@
 NO_RATE_RETRY: Millis = 1_000.0
 """When to come back if this VM has no part of the rate."""
 
+DEMAND_MEMORY: Millis = 1_000.0
+"""Time constant of the measured demand; shifts of callers take seconds."""
+
+LOW_MARK: Millis = 300.0
+"""A VM borrows when its tokens last no longer than this at its demand."""
+
+BORROWED: Millis = 600.0
+"""It borrows what lasts so long."""
+
+RESERVE: Millis = 200.0
+"""A lender keeps what lasts so long at its own demand."""
+
 
 class _Bucket:
     def __init__(self, organisation: Organisation, level: float, now: Millis) -> None:
         self.organisation = organisation
         self.level = level
         self.filled = now
+        self.demand = 0.0
+        """Requests a second that callers ask for here."""
+        self.measured = now
+
+    def note_demand(self, now: Millis) -> None:
+        self.fade_demand(now)
+        self.demand += MILLIS_PER_SECOND / DEMAND_MEMORY
+
+    def fade_demand(self, now: Millis) -> None:
+        self.demand *= math.exp(-(now - self.measured) / DEMAND_MEMORY)
+        self.measured = now
+
+    def lasting(self, duration: Millis) -> float:
+        """Return the tokens that last `duration` at the demand."""
+        return self.demand * duration / MILLIS_PER_SECOND
 
 
 class Allowances:
@@ -49,17 +77,13 @@
     def configure(self, organisations_by_id: Mapping[str, Organisation]) -> None:
         """Follow the configuration; levels stay, within the new bursts."""
         now = self._clock.now()
-        share = self._share()
         buckets = {}
         for organisation in organisations_by_id.values():
             if organisation.rate <= 0.0:
                 continue
             bucket = self._buckets_by_id.get(organisation.id)
             if bucket is None:
-                level = organisation.burst
-                if not self._starts_full:
-                    level = organisation.rate * FIRST_LEVEL / MILLIS_PER_SECOND
-                bucket = _Bucket(organisation, level * share, now)
+                bucket = _Bucket(organisation, self._first_level(organisation), now)
             self._fill(bucket)
             bucket.organisation = organisation
             bucket.level = min(bucket.level, self._depth(organisation))
@@ -72,6 +96,71 @@
         if bucket is None:
             return None
         self._fill(bucket)
+        bucket.note_demand(self._clock.now())
+        return self._spend(bucket)
+
+    def retake(self, organisation: str) -> Millis | None:
+        """Try again for a request whose demand is counted already."""
+        bucket = self._buckets_by_id.get(organisation)
+        if bucket is None:
+            return None
+        self._fill(bucket)
+        return self._spend(bucket)
+
+    def give_back(self, organisation: str) -> None:
+        """Return the token of a request that reached no upstream."""
+        bucket = self._buckets_by_id.get(organisation)
+        if bucket is not None:
+            bucket.level += 1.0
+
+    def spare_by_id(self) -> dict[str, int]:
+        """Return the whole tokens that could be lent, by organisation."""
+        spare_by_id = {}
+        for name, bucket in self._buckets_by_id.items():
+            self._fill(bucket)
+            spare = self._spare(bucket)
+            if spare > 0:
+                spare_by_id[name] = spare
+        return spare_by_id
+
+    def lend(self, organisation: str, wanted: int) -> int:
+        """Take off up to `wanted` tokens for another VM and return how many."""
+        bucket = self._buckets_by_id.get(organisation)
+        if bucket is None or wanted <= 0:
+            return 0
+        self._fill(bucket)
+        lent = min(self._spare(bucket), wanted)
+        bucket.level -= lent
+        return lent
+
+    def receive(self, organisation: str, tokens: int) -> None:
+        """Add tokens that another VM has taken off its own."""
+        bucket = self._buckets_by_id.get(organisation)
+        if bucket is not None:
+            bucket.level += max(tokens, 0)
+
+    def wanted_by_id(self) -> dict[str, int]:
+        """Return the tokens to borrow, by organisation that runs short here."""
+        wanted_by_id = {}
+        for name in self._buckets_by_id:
+            wanted = self.wanted(name)
+            if wanted > 0:
+                wanted_by_id[name] = wanted
+        return wanted_by_id
+
+    def wanted(self, organisation: str) -> int:
+        """Return the tokens to borrow now; 0 if there are enough."""
+        bucket = self._buckets_by_id.get(organisation)
+        if bucket is None:
+            return 0
+        self._fill(bucket)
+        if bucket.level >= max(bucket.lasting(LOW_MARK), 1.0):
+            return 0
+        if bucket.demand < 0.1:
+            return 0
+        return max(math.ceil(bucket.lasting(BORROWED) - bucket.level), 1)
+
+    def _spend(self, bucket: _Bucket) -> Millis | None:
         if bucket.level >= 1.0:
             bucket.level -= 1.0
             return None
@@ -80,11 +169,15 @@
             return NO_RATE_RETRY
         return (1.0 - bucket.level) / rate * MILLIS_PER_SECOND
 
-    def give_back(self, organisation: str) -> None:
-        """Return the token of a request that reached no upstream."""
-        bucket = self._buckets_by_id.get(organisation)
-        if bucket is not None:
-            bucket.level = min(bucket.level + 1.0, self._depth(bucket.organisation))
+    def _spare(self, bucket: _Bucket) -> int:
+        bucket.fade_demand(self._clock.now())
+        return max(math.floor(bucket.level - bucket.lasting(RESERVE)), 0)
+
+    def _first_level(self, organisation: Organisation) -> float:
+        level = organisation.burst
+        if not self._starts_full:
+            level = organisation.rate * FIRST_LEVEL / MILLIS_PER_SECOND
+        return level * self._share()
 
     def _share(self) -> float:
         return 1.0 / max(self._count_vms(), 1)
--- a/lagoonlatch/steering/upstreams.py
+++ b/lagoonlatch/steering/upstreams.py
@@ -41,6 +41,7 @@
         record: UpstreamRecord,
         region: str,
         count_sharers: Callable[[], int],
+        requests_of_others: Callable[[str], int | None],
         clock: Clock,
     ) -> None:
         self.record = record
@@ -51,6 +52,7 @@
         self.is_gone = False
         self._clock = clock
         self._count_sharers = count_sharers
+        self._requests_of_others = requests_of_others
         self._objects: OrderedDict[str, None] = OrderedDict()
         self._cold_until: Millis = -math.inf
         self._others = 0.0
@@ -58,6 +60,9 @@
 
     def load(self) -> float:
         """Return the estimated number of requests that it runs or queues."""
+        told = self._requests_of_others(self.record.id)
+        if told is not None:
+            return self.in_flight + told
         age = self._clock.now() - self._reported
         trust = math.exp(-age / LOAD_MEMORY)
         guess = self.in_flight * (self._count_sharers() - 1)
@@ -118,10 +123,12 @@
         self,
         region_by_data_centre: Mapping[str, str],
         count_sharers: Callable[[], int],
+        requests_of_others: Callable[[str], int | None],
         clock: Clock,
     ) -> None:
         self._region_by_data_centre = region_by_data_centre
         self._count_sharers = count_sharers
+        self._requests_of_others = requests_of_others
         self._clock = clock
         self._states_by_id: dict[str, UpstreamState] = {}
         self._states_by_service: dict[str, dict[str, UpstreamState]] = defaultdict(dict)
@@ -189,6 +196,14 @@
         """Return the upstreams of a service."""
         return self._states_by_service[service].values()
 
+    def in_flight_by_id(self) -> dict[str, int]:
+        """Return this VM's requests at each upstream that has any."""
+        return {
+            upstream_id: state.in_flight
+            for upstream_id, state in self._states_by_id.items()
+            if state.in_flight > 0
+        }
+
     def find(self, upstream_id: str) -> UpstreamState | None:
         """Return the upstream called `upstream_id`."""
         return self._states_by_id.get(upstream_id)
@@ -213,7 +228,9 @@
     def _add(
         self, record: UpstreamRecord, region: str, was_running: bool
     ) -> UpstreamState:
-        state = UpstreamState(record, region, self._count_sharers, self._clock)
+        state = UpstreamState(
+            record, region, self._count_sharers, self._requests_of_others, self._clock
+        )
         self._states_by_id[record.id] = state
         self._states_by_service[record.service][record.id] = state
         remembered = self._born_by_id.pop(record.id, None)
