--- a/lagoonlatch/entry/handling.py
+++ b/lagoonlatch/entry/handling.py
@@ -300,6 +300,7 @@
             why=reason,
             route=journey.route.id,
             service=journey.service,
+            organisation=journey.organisation.id if journey.organisation else "",
             after_ms=round(self._clock.now() - request.received),
             attempts=journey.reached,
             last=journey.last,
