Ask other VMs for news while the store turns this one away

Cause: a store may refuse some VMs for many seconds and serve the others; those it refuses go on with old configurations, evacuations and upstreams.

--- a/lagoonlatch/entry/facts.py
+++ b/lagoonlatch/entry/facts.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 import structlog
 from returns.result import Failure, Success
@@ -58,7 +58,7 @@
         self._on_rules: list[Callable[[TrafficRules], None]] = []
         self._on_upstream_gone: list[Callable[[str], None]] = []
         self._has_read = False
-        self._revision_by_key: dict[str, int] = {}
+        self._entry_by_key: dict[str, Entry] = {}
         self._lapsed_until: Millis = 0.0
         self._missing_ids: set[str] = set()
 
@@ -70,18 +70,21 @@
         """Call `listener` with the id of each upstream that is gone."""
         self._on_upstream_gone.append(listener)
 
+    def entries(self) -> list[Entry]:
+        """Return all that was read, as the store holds it."""
+        return list(self._entry_by_key.values())
+
     def note_outage_end(self) -> None:
         """Hold missing upstreams for a while, since entries lapse in an outage."""
         self._lapsed_until = self._clock.now() + LAPSE_GRACE
 
-    def take_snapshot(self, entries: Iterable[Entry]) -> None:
+    def take_snapshot(self, entries: Sequence[Entry]) -> None:
         """Replace all facts by `entries`."""
         present = {entry.key for entry in entries}
-        for key in [key for key in self._revision_by_key if key not in present]:
+        for key in [key for key in self._entry_by_key if key not in present]:
             self._remove(key)
         for entry in entries:
-            if entry.revision > self._revision_by_key.get(entry.key, 0):
-                self._write(entry.key, entry.value, entry.revision)
+            self._write(entry)
         self._has_read = True
 
     def take_changes(self, changes: Iterable[Change]) -> None:
@@ -89,8 +92,8 @@
         for change in changes:
             if change.value is None:
                 self._remove(change.key)
-            elif change.revision > self._revision_by_key.get(change.key, 0):
-                self._write(change.key, change.value, change.revision)
+            else:
+                self._write(Entry(change.key, change.value, change.revision))
 
     def settle(self) -> None:
         """Drop the upstreams that stayed missing after an outage."""
@@ -99,8 +102,12 @@
             for upstream_id in missing:
                 self._drop_upstream(upstream_id)
 
-    def _write(self, key: str, value: bytes, revision: int) -> None:
-        self._revision_by_key[key] = revision
+    def _write(self, entry: Entry) -> None:
+        key, value = entry.key, entry.value
+        known = self._entry_by_key.get(key)
+        if known is not None and known.revision >= entry.revision:
+            return
+        self._entry_by_key[key] = entry
         if key == CONFIGURATION_KEY:
             self._write_rules(value)
         elif (data_centre := evacuated_data_centre(key)) is not None:
@@ -113,7 +120,7 @@
             self.roster.add(key.removeprefix(ROSTER_PREFIX))
 
     def _remove(self, key: str) -> None:
-        self._revision_by_key.pop(key, None)
+        self._entry_by_key.pop(key, None)
         if (data_centre := evacuated_data_centre(key)) is not None:
             self._set_evacuated(self._evacuated - {data_centre})
         elif key.startswith(UPSTREAM_PREFIX):
--- a/lagoonlatch/entry/process.py
+++ b/lagoonlatch/entry/process.py
@@ -19,6 +19,7 @@
 from lagoonlatch.entry.doors import serve_lookups, serve_readiness
 from lagoonlatch.entry.facts import Facts
 from lagoonlatch.entry.handling import RequestHandler
+from lagoonlatch.entry.news import NewsReader, NewsServer
 from lagoonlatch.entry.peers import PeerLink
 from lagoonlatch.entry.pool import ConnectionPool
 from lagoonlatch.entry.probes import Prober
@@ -96,6 +97,8 @@
         self._spawn(self._peers.receive)
         self._spawn(self._peers.tell)
         self._spawn(self._peers.borrow_ahead)
+        self._news.serve(self._settings.peer_address)
+        self._spawn(self._news_reader.run)
         self._spawn(self._sync.run)
         self._spawn(self._registration.run)
         self._spawn(self._keep_house)
@@ -129,6 +132,8 @@
             self._peer_table,
             clock,
         )
+        self._news = NewsServer(self._facts, self._sync)
+        self._news_reader = NewsReader(self._facts, self._sync, self._list_peers, clock)
         self._pool = ConnectionPool(clock)
         admission = Admission()
         attempts = Attempts(
--- a/lagoonlatch/entry/sync.py
+++ b/lagoonlatch/entry/sync.py
@@ -6,7 +6,6 @@
 
 import gevent
 import structlog
-from gevent.event import Event
 from returns.result import Failure
 
 from lagoonlatch.clock import Clock, Millis
@@ -44,6 +43,11 @@
         since a new call tells so, no call waits for this long.
     prefix : str
         The keys followed.
+
+    Attributes
+    ----------
+    revision : int
+        Of the store, up to which the facts are complete; 0 before the first reading.
     """
 
     def __init__(
@@ -60,20 +64,30 @@
         self._prefix = prefix
         wait = min(settle_time - WAIT_MARGIN, LONGEST_WAIT)
         self._watch: Watch = store.open_watch(prefix, wait)
-        self._revision: int | None = None
+        self._needs_reading = True
+        self.revision = 0
         self._failing_since: Millis | None = None
         self._pause = RETRY_FIRST
-        self.has_read = Event()
 
     @property
     def is_failing(self) -> bool:
         """Whether the last call to the store failed."""
         return self._failing_since is not None
 
+    def failing_for(self) -> Millis:
+        """Return how long calls to the store have failed; 0 if the last one didn't."""
+        if self._failing_since is None:
+            return 0.0
+        return self._clock.now() - self._failing_since
+
+    def note_reading(self, revision: int) -> None:
+        """Take in that another VM's reading up to `revision` is in the facts."""
+        self.revision = max(self.revision, revision)
+
     def run(self) -> None:
         """Follow the store for ever."""
         while True:
-            failure = self._read() if self._revision is None else self._follow()
+            failure = self._read() if self._needs_reading else self._follow()
             if failure is None:
                 self._note_success()
             else:
@@ -86,16 +100,16 @@
         self._note_success()
         found = snapshot.unwrap()
         self._facts.take_snapshot(found.entries)
-        self._revision = found.revision
-        self.has_read.set()
+        self.revision = found.revision
+        self._needs_reading = False
         return None
 
     def _follow(self) -> StoreError | None:
-        changes = self._watch.wait_for_changes(self._revision or 0)
+        changes = self._watch.wait_for_changes(self.revision)
         if isinstance(changes, Failure):
             error = changes.failure()
             # What happened meanwhile is read anew.
-            self._revision = None
+            self._needs_reading = True
             if isinstance(error, HistoryGone):
                 _LOG.info("watch_history_gone")
                 return None
@@ -103,7 +117,7 @@
         self._note_success()
         found = changes.unwrap()
         self._facts.take_changes(found.changes)
-        self._revision = found.revision
+        self.revision = found.revision
         if found.changes:
             gevent.sleep(GATHER / 1_000.0)
         return None
--- a/lagoonlatch/platform/kv.py
+++ b/lagoonlatch/platform/kv.py
@@ -24,7 +24,7 @@
 CALL_TIMEOUT: Millis = 1_500.0
 """Longest time of one call; the store answers in milliseconds unless it is ill."""
 
-WATCH_MARGIN: Millis = 2_000.0
+WATCH_MARGIN: Millis = 1_000.0
 """How much longer than it may wait a watch's answer is waited for."""
 
 _OK = 200
