--- /dev/null
+++ b/tests/steering/test_allowances.py
@@ -0,0 +1,124 @@
+"""Allowances over several VMs, as callers and the sum of all VMs see them."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lagoonlatch.standins.manual_clock import ManualClock
+from lagoonlatch.steering.allowances import Allowances
+from tests.steering.samples import make_organisation
+
+
+def make_vms(count, clock, rate=100.0, burst=100.0, starts_full=True):
+    vms = [Allowances(lambda: count, starts_full, clock) for _ in range(count)]
+    for vm in vms:
+        vm.configure({"dojo": make_organisation(rate=rate, burst=burst)})
+    return vms
+
+
+def lend_once(vms, needy):
+    """Let one VM borrow from the one with most to spare."""
+    wanted = vms[needy].wanted("dojo")
+    lenders = [vm for index, vm in enumerate(vms) if index != needy]
+    lender = max(lenders, key=lambda vm: vm.spare_by_id().get("dojo", 0))
+    vms[needy].receive("dojo", lender.lend("dojo", wanted))
+
+
+def play_lopsided(vms, clock, per_second, seconds, lends):
+    """Send all requests to the first VM; return how many were let through."""
+    passed = 0
+    for _ in range(int(per_second * seconds)):
+        clock.advance(1_000.0 / per_second)
+        if lends:
+            lend_once(vms, 0)
+        passed += vms[0].take("dojo") is None
+    return passed
+
+
+def test_lopsided_callers_get_their_rate_by_loans():
+    """Load: callers of an organisation at 80% of its rate ask one VM of ten."""
+    clock = ManualClock()
+    alone = play_lopsided(make_vms(10, clock), clock, 80, 10, lends=False)
+    with_loans = play_lopsided(make_vms(10, clock), clock, 80, 10, lends=True)
+    assert alone < 200
+    assert with_loans >= 0.98 * 800
+
+
+@settings(max_examples=60, deadline=None)
+@given(
+    steps=st.lists(
+        st.tuples(
+            st.integers(0, 3),
+            st.sampled_from(["take", "lend", "lost loan", "wait", "restart", "change"]),
+            st.integers(1, 400),
+        ),
+        max_size=150,
+    )
+)
+def test_sum_of_all_vms_never_passes_the_allowance(steps):
+    clock = ManualClock()
+    rate, burst, count = 40.0, 40.0, 4
+    vms = make_vms(count, clock, rate, burst)
+    passed, started, refills = 0, clock.now(), 0.0
+    for index, action, amount in steps:
+        if action == "take":
+            passed += sum(vms[index].take("dojo") is None for _ in range(amount % 30))
+        elif action == "lend":
+            lend_once(vms, index)
+        elif action == "lost loan":
+            vms[index].lend("dojo", amount)
+        elif action == "wait":
+            clock.advance(amount)
+        elif action == "restart":
+            vms[index] = Allowances(lambda: count, False, clock)
+            vms[index].configure({"dojo": make_organisation(rate=rate, burst=burst)})
+            refills += rate * 0.1 / count
+        else:
+            vms[index].configure({"dojo": make_organisation(rate=rate, burst=burst)})
+    allowed = burst + rate * (clock.now() - started) / 1_000.0 + refills
+    assert passed <= allowed + 1e-6
+
+
+def test_a_lower_burst_takes_tokens_away_at_once():
+    clock = ManualClock()
+    (vm,) = make_vms(1, clock, burst=100.0)
+    vm.configure({"dojo": make_organisation(rate=10.0, burst=10.0)})
+    assert sum(vm.take("dojo") is None for _ in range(100)) == 10
+
+
+def test_a_refusal_tells_when_the_next_token_comes():
+    clock = ManualClock()
+    (vm,) = make_vms(1, clock, rate=10.0, burst=1.0)
+    assert vm.take("dojo") is None
+    wait = vm.take("dojo")
+    assert wait == 100.0
+    clock.advance(wait)
+    assert vm.take("dojo") is None
+
+
+def test_a_token_of_a_request_that_reached_nobody_comes_back():
+    (vm,) = make_vms(1, ManualClock(), rate=1.0, burst=1.0)
+    assert vm.take("dojo") is None
+    vm.give_back("dojo")
+    assert vm.take("dojo") is None
+
+
+def test_a_vm_that_restarts_does_not_bring_the_burst_again():
+    (vm,) = make_vms(1, ManualClock(), rate=100.0, burst=100.0, starts_full=False)
+    assert sum(vm.take("dojo") is None for _ in range(100)) == 10
+
+
+def test_without_a_limit_everything_passes():
+    (vm,) = make_vms(1, ManualClock(), rate=0.0, burst=0.0)
+    assert all(vm.take("dojo") is None for _ in range(1_000))
+
+
+def test_a_lender_keeps_what_its_own_callers_need():
+    clock = ManualClock()
+    vms = make_vms(2, clock, rate=100.0, burst=100.0)
+    for _ in range(40):
+        clock.advance(25.0)
+        vms[1].take("dojo")
+    spare = vms[1].spare_by_id().get("dojo", 0)
+    vms[1].lend("dojo", 1_000)
+    assert spare <= 45
+    assert vms[1].take("dojo") is None
--- /dev/null
+++ b/tests/steering/test_queueing.py
@@ -0,0 +1,117 @@
+"""The waiting room, played against bursts."""
+
+from lagoonlatch.standins.manual_clock import ManualClock
+from lagoonlatch.steering.placement import Placement, Wish
+from lagoonlatch.steering.queueing import Urgency, WaitingRoom
+from tests.steering.samples import make_fleet, make_record
+
+URGENT = Urgency(organisation=0, route=1)
+USUAL = Urgency(organisation=1, route=1)
+LATER = Urgency(organisation=1, route=2)
+
+
+class Seat:
+    """Notes the offer and, like a request, takes the slot."""
+
+    def __init__(self, name, order):
+        self.name = name
+        self.order = order
+
+    def offer(self, upstream):
+        upstream.in_flight += 1
+        self.order.append(self.name)
+
+
+def make_room(slots=1):
+    clock = ManualClock()
+    fleet = make_fleet(clock)
+    fleet.put(make_record("u1", slots=slots), was_running=True)
+    placement = Placement(fleet, "north", ["north"], lambda _: True)
+    candidates = placement.candidates(Wish(service="ledger", object_name="a/1"), 50.0)
+    return WaitingRoom(placement, clock), candidates, fleet.find("u1"), clock
+
+
+def test_slots_go_to_the_most_urgent_and_then_to_the_first():
+    room, candidates, upstream, _ = make_room()
+    upstream.in_flight = 1
+    order = []
+    for name, urgency in [
+        ("later", LATER),
+        ("usual 1", USUAL),
+        ("usual 2", USUAL),
+        ("urgent", URGENT),
+    ]:
+        room.enter(urgency, candidates, Seat(name, order))
+    for _ in range(4):
+        upstream.in_flight = 0
+        room.offer_slots()
+    assert order == ["urgent", "usual 1", "usual 2", "later"]
+    assert len(room) == 0
+
+
+def test_one_free_slot_is_given_once():
+    room, candidates, upstream, _ = make_room()
+    order = []
+    room.enter(USUAL, candidates, Seat("first", order))
+    room.enter(USUAL, candidates, Seat("second", order))
+    room.offer_slots()
+    assert order == ["first"]
+    assert upstream.in_flight == 1
+
+
+def test_who_leaves_gets_no_offer():
+    room, candidates, _, _ = make_room()
+    order = []
+    number = room.enter(USUAL, candidates, Seat("gone", order))
+    room.leave(number)
+    room.offer_slots()
+    assert order == []
+
+
+def test_only_those_at_least_as_urgent_count_as_ahead():
+    room, candidates, upstream, _ = make_room()
+    upstream.in_flight = 1
+    room.enter(USUAL, candidates, Seat("usual", []))
+    room.enter(LATER, candidates, Seat("later", []))
+    assert room.count_ahead(URGENT, candidates) == 0
+    assert room.count_ahead(USUAL, candidates) == 1
+    assert room.count_ahead(LATER, candidates) == 2
+
+
+def test_an_upstream_that_leaves_is_not_offered():
+    room, candidates, upstream, _ = make_room()
+    order = []
+    room.enter(USUAL, candidates, Seat("waiting", order))
+    upstream.is_suspect = True
+    room.offer_slots()
+    assert order == []
+
+
+def play_burst(room, candidates, upstream, clock, ordered):
+    """Return the urgent requests served within 300 ms of a burst of 40."""
+    served = []
+    arrived = {}
+    for index in range(40):
+        urgency = URGENT if index % 4 == 0 else LATER
+        name = ("urgent" if index % 4 == 0 else "later", index)
+        arrived[name] = clock.now()
+        if not ordered:
+            urgency = USUAL
+        room.enter(urgency, candidates, Seat(name, served))
+    upstream.in_flight = upstream.record.slots
+    in_time = 0
+    for _ in range(10):
+        clock.advance(30.0)
+        upstream.in_flight -= 1
+        before = len(served)
+        room.offer_slots()
+        in_time += sum(kind == "urgent" for kind, _ in served[before:])
+    return in_time
+
+
+def test_urgent_callers_are_served_in_a_burst():
+    """Load: forty requests at once for three slots, one in four urgent."""
+    with_order = play_burst(*make_room(slots=3), ordered=True)
+    first_come = play_burst(*make_room(slots=3), ordered=False)
+    assert with_order == 10
+    assert first_come <= 3
