--- /dev/null
+++ b/tests/platform/test_kv.py
@@ -0,0 +1,130 @@
+import gevent
+import pytest
+from returns.result import Failure, Success
+
+from lagoonlatch.platform.kv import Change, HistoryGone, KeyValueStore
+from lagoonlatch.platform.store import (
+    StoreConflict,
+    StoreLeaseEnded,
+    StoreOutcomeUnknown,
+    StoreUnavailable,
+)
+from lagoonlatch.standins.kv_store import KvStoreStandin
+
+
+@pytest.fixture
+def standin():
+    return KvStoreStandin()
+
+
+@pytest.fixture
+def store(standin):
+    server = standin.serve()
+    yield KeyValueStore.from_address(f"127.0.0.1:{server.server_port}")
+    server.stop()
+
+
+def test_a_range_holds_all_pages(standin, store):
+    for number in range(1_203):
+        standin.put(f"servers/{number:05}", b"x")
+    standin.put("other/1", b"y")
+    snapshot = store.read_prefix("servers/").unwrap()
+    assert len(snapshot.entries) == 1_203
+    assert {entry.value for entry in snapshot.entries} == {b"x"}
+
+
+def test_a_change_between_two_pages_is_in_the_watch(standin, store):
+    for number in range(600):
+        standin.put(f"a/{number:05}", b"x")
+    show, changes = standin._show, []
+
+    def show_and_change(key):
+        if key == "a/00500" and not changes:
+            changes.append(standin.put("a/00001", b"new"))
+        return show(key)
+
+    standin._show = show_and_change
+    snapshot = store.read_prefix("a/").unwrap()
+    found = store.open_watch("a/", 1_000.0).wait_for_changes(snapshot.revision)
+    assert [(c.key, c.value) for c in found.unwrap().changes] == [("a/00001", b"new")]
+
+
+def test_writes_are_conditional(store):
+    first = store.put_if("k", b"1", 0).unwrap()
+    conflict = store.put_if("k", b"2", 0).failure()
+    assert isinstance(conflict, StoreConflict)
+    assert conflict.current.value == b"1"
+    assert conflict.current.revision == first
+    second = store.put_if("k", b"2", first).unwrap()
+    assert isinstance(store.delete_if("k", first), Failure)
+    assert isinstance(store.delete_if("k", second), Success)
+    assert store.read_prefix("k").unwrap().entries == ()
+
+
+def test_a_watch_waits_for_writes_and_removals(standin, store):
+    watch = store.open_watch("a/", 5_000.0)
+    revision = store.read_prefix("a/").unwrap().revision
+    gevent.spawn_later(0.05, standin.put, "a/1", b"x")
+    found = watch.wait_for_changes(revision).unwrap()
+    assert [(c.key, c.value) for c in found.changes] == [("a/1", b"x")]
+    standin.remove("a/1")
+    (change,) = watch.wait_for_changes(found.revision).unwrap().changes
+    assert change == Change("a/1", None, change.revision)
+
+
+def test_a_watch_without_changes_ends_with_none(store):
+    found = store.open_watch("a/", 50.0).wait_for_changes(1).unwrap()
+    assert found.changes == ()
+
+
+def test_history_that_is_gone_is_said(standin, store):
+    for _ in range(3):
+        standin.put("a/1", b"x")
+    standin.forget_history()
+    failure = store.open_watch("a/", 50.0).wait_for_changes(1).failure()
+    assert failure == HistoryGone()
+
+
+def test_leases_take_their_keys_with_them(standin, store):
+    lease = store.grant_lease(300.0).unwrap()
+    store.put("vm/1", b"x", lease).unwrap()
+    for _ in range(3):
+        gevent.sleep(0.15)
+        assert isinstance(store.renew_lease(lease), Success)
+    assert standin.keys() == ["vm/1"]
+    gevent.sleep(0.4)
+    assert standin.keys() == []
+    assert store.renew_lease(lease).failure() == StoreLeaseEnded(lease)
+    assert store.put("vm/1", b"x", lease).failure() == StoreLeaseEnded(lease)
+
+
+def test_a_lease_can_be_ended(standin, store):
+    lease = store.grant_lease(5_000.0).unwrap()
+    store.put("vm/1", b"x", lease).unwrap()
+    assert isinstance(store.revoke_lease(lease), Success)
+    assert standin.keys() == []
+
+
+@pytest.mark.parametrize("status", [429, 503, 403])
+def test_a_store_that_turns_a_write_away_has_not_done_it(standin, store, status):
+    standin.refuse_with = status
+    failure = store.put("k", b"1").failure()
+    assert isinstance(failure, StoreUnavailable)
+    assert str(status) in failure.reason
+
+
+def test_a_write_that_fails_otherwise_may_be_done(standin, store):
+    standin.refuse_with = 500
+    assert isinstance(store.put("k", b"1").failure(), StoreOutcomeUnknown)
+
+
+def test_a_read_that_fails_has_no_effect(standin, store):
+    standin.refuse_with = 500
+    assert isinstance(store.read_prefix("k").failure(), StoreUnavailable)
+    watch = store.open_watch("k", 50.0)
+    assert isinstance(watch.wait_for_changes(1).failure(), StoreUnavailable)
+
+
+def test_a_store_out_of_reach_is_unavailable():
+    store = KeyValueStore.from_address("127.0.0.1:1")
+    assert isinstance(store.read_prefix("k").failure(), StoreUnavailable)
