Wait one duration for the upstream that knows the object

Cause: at 80% of the slots a quarter of the requests went to an upstream that did not know their object, took three times as long there and pushed out other objects. Ruled out: queueing at the upstreams (waiting reports in 5 to 20% of answers). Change: a request stays for its upstream for its whole usual time, not half of it.

--- a/lagoonlatch/steering/admission.py
+++ b/lagoonlatch/steering/admission.py
@@ -16,7 +16,7 @@
 SHORTEST_WAIT: Millis = 75.0
 """A slot may always be waited for so long: loads told by upstreams are as old."""
 
-STAY = 0.5
+STAY = 1.0
 """Part of its duration that a request waits for an upstream that knows its object;
 at one that doesn't it takes several times as long."""
 
