Estimate a request's duration by those that find their object known

Cause: the mean of all durations grows when objects move, which shortens the wait for the known upstream's slot just then and refuses requests that would be served. Change: the estimate follows short durations ten times as fast as long ones; a request stays for its upstream for two of them.

--- a/lagoonlatch/steering/admission.py
+++ b/lagoonlatch/steering/admission.py
@@ -10,15 +10,17 @@
 from lagoonlatch.clock import Millis
 from lagoonlatch.steering.model import Route
 
-DURATION_MEMORY = 0.05
-"""Weight of the newest duration in the moving average."""
+DURATION_FALL = 0.1
+DURATION_RISE = 0.01
+"""Weights of the newest duration below and above the estimate, which so stays near the
+time that a request takes where its object is known."""
 
 SHORTEST_WAIT: Millis = 75.0
 """A slot may always be waited for so long: loads told by upstreams are as old."""
 
-STAY = 1.0
-"""Part of its duration that a request waits for an upstream that knows its object;
-at one that doesn't it takes several times as long."""
+STAY = 2.0
+"""Durations that a request rather waits for an upstream that knows its object; at one
+that doesn't it takes several of them."""
 
 SHORTEST_RETRY: Millis = 200.0
 LONGEST_RETRY: Millis = 2_000.0
@@ -34,7 +36,8 @@
     def note_duration(self, route: str, duration: Millis) -> None:
         """Take in how long an answered request took at its upstream."""
         known = self._duration_by_route.get(route, duration)
-        self._duration_by_route[route] = known + (duration - known) * DURATION_MEMORY
+        weight = DURATION_FALL if duration < known else DURATION_RISE
+        self._duration_by_route[route] = known + (duration - known) * weight
 
     def longest_wait(self, route: Route, time_left: Millis) -> Millis:
         """Return how long a request may wait for a slot; 0 to refuse it now."""
