--- /dev/null
+++ b/tests/entry/test_connection.py
@@ -0,0 +1,353 @@
+"""A caller's connection against every order of bytes and closes."""
+
+import gevent
+import pytest
+from gevent import socket
+from gevent.event import Event
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from lagoonlatch.clock import Clock
+from lagoonlatch.entry.connection import CallerConnection
+from lagoonlatch.entry.messages import CallerAnswer
+from lagoonlatch.steering.model import CallerLimits
+
+LIMITS = CallerLimits(
+    header_bytes=2_000, body_bytes=1_000, header_timeout=300.0, idle_timeout=500.0
+)
+GET = b"GET /a/%d HTTP/1.1\r\nHost: H.example:80\r\nRequest-Id: %d\r\n\r\n"
+READ_TIMEOUT = 3.0
+
+
+class Echo:
+    """Answers with the target and body; `gate` holds answers back."""
+
+    def __init__(self):
+        self.requests = []
+        self.gate = Event()
+        self.gate.set()
+        self.delays = {}
+        self.finished = []
+
+    def handle(self, request):
+        self.requests.append(request)
+        self.gate.wait()
+        gevent.sleep(self.delays.get(request.target, 0.0))
+        self.finished.append(request.target)
+        return CallerAnswer(
+            status=200,
+            headers=[(b"X-Path", request.target), (b"Connection", b"odd")],
+            body=request.body or request.target,
+        )
+
+
+class Session:
+    """Both ends of one connection."""
+
+    def __init__(self, limits=LIMITS, stopping=False):
+        self.echo = Echo()
+        self.stopping = stopping
+        self.caller, server = socket.socketpair()
+        self.caller.settimeout(READ_TIMEOUT)
+        self.connection = CallerConnection(
+            _NoDelay(server), self.echo, lambda: limits, lambda: self.stopping, Clock()
+        )
+        self.task = gevent.spawn(self.connection.run)
+
+    def send(self, data):
+        self.caller.sendall(data)
+        return self
+
+    def read_to_end(self):
+        data = b""
+        try:
+            while chunk := self.caller.recv(65_536):
+                data += chunk
+        except ConnectionResetError:
+            data += b"(reset)"
+        return data
+
+    def read_until(self, marker):
+        data = b""
+        while marker not in data:
+            chunk = self.caller.recv(65_536)
+            assert chunk, f"closed after {data!r}"
+            data += chunk
+        return data
+
+
+class _NoDelay:
+    """A Unix socket that takes the options of TCP ones."""
+
+    def __init__(self, sock):
+        self._sock = sock
+
+    def setsockopt(self, *_args):
+        pass
+
+    def __getattr__(self, name):
+        return getattr(self._sock, name)
+
+
+def statuses(data):
+    return [
+        int(part[:3]) for part in data.split(b"HTTP/1.1 ")[1:] if part[:3].isdigit()
+    ]
+
+
+def test_a_request_is_passed_on_as_sent_and_answered():
+    session = Session()
+    session.send(GET % (1, 1))
+    data = session.read_until(b"/a/1")
+    assert statuses(data) == [200]
+    assert b"odd" not in data
+    (request,) = session.echo.requests
+    assert request.host == "h.example"
+    assert (b"Request-Id", b"1") in request.headers
+    session.caller.close()
+    session.task.join(1.0)
+    assert session.task.ready()
+
+
+def test_requests_sent_ahead_run_together_and_are_answered_in_order():
+    session = Session()
+    session.echo.delays = {b"/a/1": 0.2, b"/a/2": 0.0, b"/a/3": 0.1}
+    session.send(b"".join(GET % (i, i) for i in (1, 2, 3)))
+    data = session.read_until(b"\r\n\r\n/a/3")
+    order = [data.index(b"X-Path: /a/%d" % i) for i in (1, 2, 3)]
+    assert order == sorted(order)
+    assert session.echo.finished == [b"/a/2", b"/a/3", b"/a/1"]
+
+
+def test_a_connection_is_kept_between_requests():
+    session = Session()
+    for number in range(3):
+        session.send(GET % (number, number))
+        session.read_until(b"\r\n\r\n/a/%d" % number)
+    assert len(session.echo.requests) == 3
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"Content-Length: 5\r\n\r\nhello",
+        b"Transfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n",
+    ],
+)
+def test_bodies_come_with_a_length_or_in_chunks(body):
+    session = Session()
+    session.send(b"POST /a HTTP/1.1\r\nHost: h\r\n" + body)
+    session.read_until(b"\r\n\r\nhello")
+    assert session.echo.requests[0].body == b"hello"
+    assert session.echo.requests[0].has_body
+
+
+def test_a_request_that_closes_is_the_last():
+    session = Session()
+    closing = b"GET /a/1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+    data = session.send(closing + GET % (2, 2)).read_to_end()
+    assert statuses(data) == [200]
+    assert b"Connection: close" in data
+    assert len(session.echo.requests) == 1
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"NONSENSE\r\n\r\n", 400),
+        (b"GET /a HTTP/1.1\r\n\r\n", 400),
+        (b"GET /a HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", 400),
+        (b"GET /a HTTP/1.1\r\nHost : a\r\n\r\n", 400),
+        (b"GET /a b HTTP/1.1\r\nHost: a\r\n\r\n", 400),
+        (b"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: x\r\n\r\n", 400),
+        (b"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n", 400),
+        (
+            b"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+            b"Content-Length: 4\r\n\r\nabcd",
+            400,
+        ),
+        (
+            b"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /b HTTP/1.1\r\n\r\n",
+            400,
+        ),
+        (
+            b"POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+            400,
+        ),
+        (
+            b"POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"3\r\nabcdef\r\n",
+            400,
+        ),
+        (b"POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n\r\n", 501),
+        (b"GET /a HTTP/1.1\r\nHost: a\r\nX: " + b"y" * 3_000, 431),
+        (
+            b"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 1001\r\n\r\n"
+            + b"x" * 1_001,
+            413,
+        ),
+    ],
+)
+def test_what_is_no_request_is_refused_and_runs_nothing(data, status):
+    session = Session()
+    answer = session.send(data).read_to_end()
+    assert statuses(answer) == [status]
+    assert b"Connection: close" in answer
+    assert session.echo.requests == []
+
+
+def test_requests_before_a_bad_one_are_answered_first():
+    session = Session()
+    session.echo.delays = {b"/a/1": 0.1}
+    data = session.send(GET % (1, 1) + b"NONSENSE\r\n\r\n").read_to_end()
+    assert statuses(data) == [200, 400]
+
+
+@pytest.mark.parametrize(
+    "data", [b"GET /a HT", b"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nx"]
+)
+def test_a_request_that_takes_too_long_gets_408(data):
+    session = Session()
+    assert statuses(session.send(data).read_to_end()) == [408]
+    assert session.echo.requests == []
+
+
+def test_an_idle_connection_is_closed_after_its_limit_without_an_answer():
+    session = Session()
+    session.send(GET % (1, 1))
+    session.read_until(b"\r\n\r\n/a/1")
+    clock = Clock()
+    started = clock.now()
+    assert session.read_to_end() == b""
+    assert 400.0 <= clock.now() - started <= 1_500.0
+
+
+def test_a_lower_limit_does_not_cut_a_caller_that_knew_the_higher_one():
+    limits = [CallerLimits(idle_timeout=800.0)]
+    session = Session()
+    session.connection._limits = lambda: limits[0]
+    session.send(GET % (1, 1))
+    session.read_until(b"\r\n\r\n/a/1")
+    limits[0] = CallerLimits(idle_timeout=100.0)
+    gevent.sleep(0.5)
+    session.send(GET % (2, 2))
+    session.read_until(b"\r\n\r\n/a/2")
+
+
+def test_the_work_of_a_caller_that_leaves_is_dropped():
+    session = Session()
+    session.echo.gate.clear()
+    session.send(GET % (1, 1))
+    gevent.sleep(0.05)
+    session.caller.close()
+    session.task.join(1.0)
+    session.echo.gate.set()
+    gevent.sleep(0.05)
+    assert session.echo.finished == []
+
+
+def test_work_that_must_not_be_dropped_goes_on():
+    session = Session()
+    session.echo.gate.clear()
+    session.send(GET % (1, 1))
+    gevent.sleep(0.05)
+    session.echo.requests[0].may_cancel = False
+    session.caller.close()
+    session.task.join(1.0)
+    session.echo.gate.set()
+    gevent.sleep(0.05)
+    assert session.echo.finished == [b"/a/1"]
+
+
+def test_a_leaving_vm_closes_with_the_last_answer():
+    session = Session(stopping=True)
+    session.echo.delays = {b"/a/1": 0.1, b"/a/2": 0.1}
+    data = session.send(GET % (1, 1) + GET % (2, 2)).read_to_end()
+    assert statuses(data) == [200, 200]
+    assert data.count(b"Connection: close") == 1
+
+
+def test_an_idle_connection_of_a_leaving_vm_can_be_closed():
+    session = Session()
+    session.send(GET % (1, 1))
+    session.read_until(b"\r\n\r\n/a/1")
+    session.connection.close_if_idle()
+    assert session.read_to_end() == b""
+
+
+def test_a_connection_with_a_request_under_way_is_not_closed():
+    session = Session()
+    session.echo.gate.clear()
+    session.send(GET % (1, 1))
+    gevent.sleep(0.05)
+    session.connection.close_if_idle()
+    session.echo.gate.set()
+    assert b"\r\n\r\n/a/1" in session.read_until(b"/a/1")
+
+
+def test_a_request_after_the_announced_end_is_not_run():
+    session = Session()
+    session.send(GET % (1, 1))
+    session.read_until(b"\r\n\r\n/a/1")
+    session.connection.close_if_idle()
+    session.send(GET % (2, 2))
+    session.read_to_end()
+    assert [request.target for request in session.echo.requests] == [b"/a/1"]
+
+
+def test_a_defect_of_the_handler_still_gives_an_answer():
+    session = Session()
+    session.echo.handle = lambda request: 1 / 0
+    session.send(GET % (1, 1))
+    assert statuses(session.read_until(b"\r\n\r\n")) == [500]
+
+
+def test_a_caller_that_waits_for_the_go_ahead_gets_it():
+    session = Session()
+    session.send(
+        b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
+        b"Expect: 100-continue\r\n\r\n"
+    )
+    assert b"100" in session.read_until(b"\r\n\r\n")
+    session.send(b"ok")
+    session.read_until(b"\r\n\r\nok")
+
+
+@settings(
+    max_examples=40,
+    deadline=None,
+    suppress_health_check=[HealthCheck.function_scoped_fixture],
+)
+@given(
+    count=st.integers(1, 6),
+    cuts=st.lists(st.integers(1, 400), max_size=8),
+    delays=st.lists(st.sampled_from([0.0, 0.001, 0.01]), min_size=6, max_size=6),
+)
+def test_any_cut_of_the_bytes_gives_the_same_answers(count, cuts, delays):
+    session = Session()
+    session.echo.delays = {b"/a/%d" % i: delays[i] for i in range(count)}
+    stream = b"".join(GET % (i, i) for i in range(count))
+    for cut in sorted(set(cuts)):
+        session.send(stream[:cut])
+        stream = stream[cut:]
+        gevent.sleep(0.0)
+    session.send(stream)
+    data = session.read_until(b"\r\n\r\n/a/%d" % (count - 1))
+    assert statuses(data) == [200] * count
+    assert [r.target for r in session.echo.requests] == [
+        b"/a/%d" % i for i in range(count)
+    ]
+    session.caller.close()
+
+
+@settings(max_examples=60, deadline=None)
+@given(st.binary(min_size=1, max_size=300))
+def test_any_bytes_end_in_an_answer_or_a_close(data):
+    session = Session()
+    session.send(data)
+    session.caller.shutdown(socket.SHUT_WR)
+    answer = session.read_to_end()
+    assert answer == b"" or statuses(answer) or answer == b"(reset)"
+    session.task.join(2.0)
+    assert session.task.ready()
