Tell an upstream's close before an answer from a spoilt answer

Cause: the parser reports an end before any answer as a protocol error, so it counted as a spoilt answer, which raises no suspicion that the upstream has died; found by a test of early ends. An answer that ended with its connection left it marked reusable (the check before reuse dropped it). Change: both ends are told by the read itself.

--- a/lagoonlatch/entry/exchange.py
+++ b/lagoonlatch/entry/exchange.py
@@ -151,10 +151,13 @@
             event = parser.next_event()
             if event is h11.NEED_DATA:
                 self._sock.settimeout(self._seconds_until(deadline))
-                parser.receive_data(self._sock.recv(_CHUNK))
+                data = self._sock.recv(_CHUNK)
+                if not data:
+                    self.is_reusable = False
+                    if parser.their_state is h11.SEND_RESPONSE:
+                        raise _ClosedError("closed before an answer")
+                parser.receive_data(data)
                 continue
-            if isinstance(event, h11.ConnectionClosed):
-                raise _ClosedError("closed without an answer")
             yield event
             if isinstance(event, h11.EndOfMessage):
                 return
