Offer further upstreams to a request whose first ones refused; test its way

Cause: the few upstreams of an object were chosen before those that had been tried were left out, so two refused connections ended in 503 though others had room; found by a test of the request's way. Conclusion: the test failed before.

--- a/lagoonlatch/steering/placement.py
+++ b/lagoonlatch/steering/placement.py
@@ -106,7 +106,8 @@
         failing = FAILING_SHARE + _mean([state.failure_share for state in usable])
         by_region: dict[str, list[UpstreamState]] = defaultdict(list)
         for state in usable:
-            if not wish.regions or state.region in wish.regions:
+            is_allowed = not wish.regions or state.region in wish.regions
+            if is_allowed and state.record.id not in wish.tried:
                 by_region[state.region].append(state)
         weights = region_weights(
             self._region,
@@ -127,7 +128,7 @@
             in_region.sort(key=lambda state: state.failure_share > failing)
             ranked += in_region[:most] if name else in_region
         return Candidates(
-            upstreams=tuple(s for s in ranked if s.record.id not in wish.tried),
+            upstreams=tuple(ranked),
             object_name=name,
             stays_for=stays_for,
         )
--- /dev/null
+++ b/tests/entry/test_facts.py
@@ -0,0 +1,149 @@
+import json
+
+import pytest
+
+from lagoonlatch.entry.facts import LAPSE_GRACE, Facts
+from lagoonlatch.platform.kv import Change
+from lagoonlatch.platform.registrations import VM_PREFIX, encode_vm
+from lagoonlatch.platform.store import Entry
+from lagoonlatch.standins.manual_clock import ManualClock
+from lagoonlatch.steering.model import VmRecord
+from tests.steering.samples import make_fleet
+
+
+def config(version):
+    service = {
+        "resource_kind": "services",
+        "metadata": {"name": "ledger"},
+        "spec": {"health_path": "/healthz", "cold_start_s": 3.0, "cold_per_s": 8.0},
+    }
+    return json.dumps({"version": f"r{version}", "resources": [service]}).encode()
+
+
+def upstream(**changes):
+    entry = {
+        "service": "ledger",
+        "addr": "10.0.0.1:80",
+        "zone": "n-a",
+        "slots": 3,
+        "state": "ready",
+        "born": 5,
+    }
+    return json.dumps(entry | changes).encode()
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def facts(clock):
+    facts = Facts(make_fleet(clock), clock)
+    facts.take_snapshot(
+        [
+            Entry("op/config", config(3), 10),
+            Entry("servers/i-1", upstream(), 11),
+            Entry("servers/i-2", upstream(zone="s-a"), 12),
+        ]
+    )
+    return facts
+
+
+def names(facts):
+    return {state.record.id for state in facts.fleet.usable("ledger")}
+
+
+def test_a_snapshot_is_taken_whole(facts):
+    assert facts.rules.version == 3
+    assert names(facts) == {"i-1", "i-2"}
+    assert len(facts.entries()) == 3
+
+
+def test_a_version_never_goes_back(facts):
+    facts.take_changes([Change("op/config", config(7), 20)])
+    facts.take_changes([Change("op/config", config(5), 21)])
+    assert facts.rules.version == 7
+    facts.take_snapshot([Entry("op/config", config(3), 10)])
+    assert facts.rules.version == 7
+
+
+def test_a_configuration_that_can_not_be_read_leaves_the_old_one(facts):
+    facts.take_changes([Change("op/config", b"{", 20)])
+    assert facts.rules.version == 3
+
+
+def test_listeners_hear_of_each_version_once(facts):
+    heard = []
+    facts.on_rules(lambda rules: heard.append(rules.version))
+    facts.take_changes([Change("op/config", config(7), 20)])
+    facts.take_snapshot([Entry("op/config", config(7), 20)])
+    assert heard == [7]
+
+
+def test_an_evacuation_holds_until_it_is_taken_back(facts):
+    facts.take_changes([Change("op/evacuate/n-a", b"{}", 20)])
+    assert names(facts) == {"i-2"}
+    facts.take_changes([Change("op/evacuate/n-a", None, 21)])
+    assert names(facts) == {"i-1", "i-2"}
+    assert facts.fleet.find("i-1").is_cold()
+
+
+def test_an_odd_entry_names_no_upstream_any_more(facts):
+    facts.take_changes([Change("servers/i-1", b"\x00", 20)])
+    assert names(facts) == {"i-2"}
+
+
+def test_what_a_new_snapshot_lacks_is_gone(facts):
+    gone = []
+    facts.on_upstream_gone(gone.append)
+    facts.take_snapshot([Entry("servers/i-2", upstream(zone="s-a"), 12)])
+    assert names(facts) == {"i-2"}
+    assert gone == ["i-1"]
+
+
+def test_upstreams_that_lapsed_in_an_outage_are_kept_for_a_while(facts, clock):
+    facts.note_outage_end()
+    facts.take_snapshot([Entry("op/config", config(3), 10)])
+    assert names(facts) == {"i-1", "i-2"}
+    clock.advance(1_000.0)
+    facts.take_changes([Change("servers/i-1", upstream(), 30)])
+    facts.settle()
+    assert names(facts) == {"i-1", "i-2"}
+    assert not facts.fleet.find("i-1").is_cold()
+    clock.advance(LAPSE_GRACE)
+    facts.settle()
+    assert names(facts) == {"i-1"}
+
+
+def test_what_drains_in_an_outage_is_not_kept(facts):
+    facts.note_outage_end()
+    facts.take_snapshot(
+        [
+            Entry("servers/i-1", upstream(state="draining"), 30),
+            Entry("servers/i-2", upstream(zone="s-a"), 12),
+        ]
+    )
+    assert {
+        state.record.id
+        for state in facts.fleet.usable("ledger")
+        if facts.fleet.is_usable(state)
+    } == {"i-2"}
+
+
+def test_vms_come_and_go(facts):
+    record = VmRecord(
+        id="vm-1",
+        data_centre="n-a",
+        caller_address="a:1",
+        peer_address="a:2",
+        run=1,
+        is_ready=True,
+    )
+    facts.take_changes([Change(f"{VM_PREFIX}vm-1", encode_vm(record), 20)])
+    assert facts.vms_by_id["vm-1"] == record
+    facts.take_changes([Change(f"{VM_PREFIX}vm-1", None, 21)])
+    assert "vm-1" not in facts.vms_by_id
+    assert facts.known_vms_by_id["vm-1"] == record
+    facts.take_changes([Change("lagoonlatch/roster/vm-1", b"{}", 22)])
+    assert facts.roster == {"vm-1"}
--- /dev/null
+++ b/tests/entry/test_handling.py
@@ -0,0 +1,275 @@
+"""The way of one request with scripted outcomes at the upstreams."""
+
+import pytest
+
+from lagoonlatch.entry.facts import Facts
+from lagoonlatch.entry.handling import RequestHandler
+from lagoonlatch.entry.messages import (
+    Answered,
+    CallerRequest,
+    Failing,
+    NotRun,
+    Unknown,
+    UpstreamAnswer,
+)
+from lagoonlatch.platform.headers import read_answer_fields, read_request_fields
+from lagoonlatch.standins.manual_clock import ManualClock
+from lagoonlatch.steering.admission import Admission
+from lagoonlatch.steering.allowances import Allowances
+from lagoonlatch.steering.model import RouteKind, TrafficRules
+from lagoonlatch.steering.placement import Placement
+from lagoonlatch.steering.queueing import WaitingRoom
+from lagoonlatch.steering.repeats import RepeatBudget
+from tests.steering.samples import (
+    make_fleet,
+    make_organisation,
+    make_record,
+    make_route,
+    make_service,
+)
+
+
+def make_answer(status=200, body=b"hello"):
+    headers = [(b"Server-Stamp", b"s"), (b"Request-Id", b"r1")]
+    return UpstreamAnswer(
+        status=status,
+        headers=headers,
+        body=body,
+        fields=read_answer_fields([]),
+        has_stamp=True,
+    )
+
+
+RESET = Unknown(Failing.RESET, "reset")
+SHED = NotRun("turned away", reached=True)
+REFUSED = NotRun("connection refused", reached=False)
+SPOILT = Unknown(Failing.SPOILT, "spoilt")
+SILENT = Unknown(Failing.OUT_OF_TIME, "silent")
+
+
+class Script:
+    """Stands for the attempts; plays outcomes in order."""
+
+    def __init__(self, clock, *outcomes):
+        self._clock = clock
+        self._outcomes = list(outcomes)
+        self.sent = []
+
+    def run(self, upstream, request, time_left, _route):
+        self.sent.append((upstream.record.id, request, time_left))
+        outcome = self._outcomes.pop(0)
+        if outcome is SILENT:
+            self._clock.advance(time_left)
+        return outcome
+
+
+class World:
+    """A handler with three upstreams."""
+
+    def __init__(self, *outcomes, kind=RouteKind.SAFE, rate=100.0, **fields):
+        self.clock = ManualClock()
+        self.fleet = make_fleet(self.clock)
+        for name in ("u1", "u2", "u3"):
+            self.fleet.put(make_record(name), was_running=True)
+        self.script = Script(self.clock, *outcomes)
+        self.facts = Facts(self.fleet, self.clock)
+        dojo = make_organisation("dojo", rate=rate, burst=rate)
+        route = make_route("a", kind=kind, **fields)
+        self.facts.rules = TrafficRules(
+            version=3,
+            routes_by_host={"h.example": (route, make_route("open", is_open=True))},
+            organisation_by_key={"secret": dojo},
+            organisations_by_id={"dojo": dojo},
+            services_by_id={"ledger": make_service()},
+        )
+        self.allowances = Allowances(lambda: 1, True, self.clock)
+        self.allowances.configure(self.facts.rules.organisations_by_id)
+        placement = Placement(self.fleet, "north", ["north"], lambda _: True)
+        self.handler = RequestHandler(
+            self.facts,
+            placement,
+            Admission(),
+            self.allowances,
+            RepeatBudget(0.2, 60.0, 10_000.0, lambda: 1, self.clock),
+            self.script,
+            WaitingRoom(placement, self.clock),
+            lambda: 1,
+            lambda _: False,
+            self.clock,
+        )
+
+    def ask(self, path=b"/a/1?q=2", key=b"Token secret", host="h.example", **headers):
+        raw = [(b"Host", host.encode()), (b"Request-Id", b"r1")]
+        raw += [(b"Cookie", b"Affinity-Key=7"), (b"Tenant", b"forged")]
+        raw += [(b"Connection", b"keep-alive, X-Hop"), (b"X-Hop", b"1")]
+        raw += [(name.encode(), value) for name, value in headers.items()]
+        if key is not None:
+            raw.append((b"Authorization", key))
+        lower = [(name.lower(), value) for name, value in raw]
+        return self.handler.handle(
+            CallerRequest(
+                method=b"GET",
+                target=path,
+                host=host,
+                headers=raw,
+                body=b"",
+                has_body=False,
+                fields=read_request_fields(lower),
+                received=self.clock.now(),
+            )
+        )
+
+    def used(self):
+        return [name for name, _, _ in self.script.sent]
+
+
+def test_the_upstreams_answer_is_passed_on():
+    world = World(Answered(make_answer()))
+    answer = world.ask()
+    assert (answer.status, answer.body) == (200, b"hello")
+    assert (b"Server-Stamp", b"s") in answer.headers
+
+
+def test_an_upstream_sees_the_organisation_and_never_the_key():
+    world = World(Answered(make_answer()))
+    world.ask()
+    _, request, _ = world.script.sent[0]
+    names = {name.lower(): value for name, value in request.headers}
+    assert names[b"tenant"] == b"dojo"
+    assert [n for n, _ in request.headers].count(b"Tenant") == 1
+    assert b"authorization" not in names
+    assert b"x-hop" not in names
+    assert b"connection" not in names
+    assert request.target == b"/a/1?q=2"
+    assert names[b"request-id"] == b"r1"
+
+
+def test_a_public_route_passes_no_key_and_no_organisation():
+    world = World(Answered(make_answer()))
+    assert world.ask(b"/open/1").status == 200
+    names = {name.lower() for name, _ in world.script.sent[0][1].headers}
+    assert not names & {b"tenant", b"authorization"}
+
+
+@pytest.mark.parametrize("key", [None, b"Token wrong", b"Basic secret", b"Token "])
+def test_without_a_valid_key_nothing_runs(key):
+    world = World()
+    assert world.ask(key=key).status == 401
+    assert world.used() == []
+
+
+def test_without_a_route_nothing_runs():
+    world = World()
+    assert world.ask(b"/b/1").status == 404
+    assert world.ask(host="other.example").status == 404
+
+
+def test_without_a_configuration_the_caller_is_told_to_come_back():
+    world = World()
+    world.facts.rules = None
+    answer = world.ask()
+    assert answer.status == 503
+    assert b"Retry-After" in dict(answer.headers)
+
+
+def test_over_the_allowance_the_caller_is_told_when_to_come_back():
+    world = World(*[Answered(make_answer())] * 2, rate=2.0)
+    assert [world.ask().status for _ in range(3)] == [200, 200, 429]
+    assert dict(world.ask().headers)[b"Retry-After"] == b"0.5"
+
+
+def test_a_request_that_reached_nobody_costs_no_allowance():
+    world = World(*[REFUSED] * 3, Answered(make_answer()), rate=1.0)
+    assert world.ask().status == 503
+    assert world.ask().status == 200
+
+
+@pytest.mark.parametrize("failure", [RESET, SPOILT, SHED])
+def test_a_repeatable_request_goes_to_another_upstream(failure):
+    world = World(failure, Answered(make_answer()))
+    assert world.ask().status == 200
+    assert len(set(world.used())) == 2
+
+
+@pytest.mark.parametrize("failure", [RESET, SPOILT])
+def test_what_may_have_run_is_not_sent_again_and_not_said_not_to_have_run(failure):
+    world = World(failure, kind=RouteKind.UNSAFE)
+    assert world.ask().status == 502
+    assert len(world.used()) == 1
+
+
+def test_what_has_not_run_may_go_to_another_upstream_though_unsafe():
+    world = World(SHED, Answered(make_answer()), kind=RouteKind.UNSAFE)
+    assert world.ask().status == 200
+    world = World(REFUSED, REFUSED, Answered(make_answer()), kind=RouteKind.UNSAFE)
+    assert world.ask().status == 200
+
+
+def test_turned_away_by_all_is_a_promise_that_it_has_not_run():
+    world = World(SHED, SHED, SHED, kind=RouteKind.UNSAFE)
+    answer = world.ask()
+    assert answer.status == 503
+    assert b"Retry-After" in dict(answer.headers)
+    assert len(world.used()) == 2
+
+
+def test_no_promise_after_one_attempt_that_may_have_run():
+    world = World(RESET, SHED, max_attempts=3)
+    world.script._outcomes.append(SHED)
+    assert world.ask().status == 502
+
+
+def test_no_more_upstreams_than_the_route_allows():
+    world = World(RESET, RESET, RESET, max_attempts=2)
+    assert world.ask().status == 502
+    assert len(world.used()) == 2
+
+
+def test_a_failure_of_the_upstream_is_repeated_and_then_passed_on_as_it_was():
+    world = World(Answered(make_answer(500, b"e1")), Answered(make_answer()))
+    assert world.ask().status == 200
+    world = World(Answered(make_answer(500, b"e1")), Answered(make_answer(500, b"e2")))
+    answer = world.ask()
+    assert (answer.status, answer.body) == (500, b"e2")
+    world = World(Answered(make_answer(500, b"e1")), RESET)
+    answer = world.ask()
+    assert (answer.status, answer.body) == (500, b"e1")
+    world = World(Answered(make_answer(500, b"e1")), kind=RouteKind.UNSAFE)
+    assert world.ask().status == 500
+
+
+def test_at_the_timeout_the_answer_comes_at_once():
+    world = World(SILENT, timeout=1_200.0)
+    started = world.clock.now()
+    assert world.ask().status == 504
+    assert world.clock.now() - started == 1_200.0
+    assert len(world.used()) == 1
+
+
+def test_the_callers_deadline_goes_before_a_longer_timeout():
+    world = World(SILENT, timeout=5_000.0)
+    assert world.ask(**{"Deadline-Ms": b"700"}).status == 504
+    _, request, left = world.script.sent[0]
+    assert left == 700.0
+    assert dict(request.headers)[b"Deadline-Ms"] == b"700"
+
+
+def test_repeats_end_with_their_budget():
+    world = World(*[RESET] * 300)
+    for _ in range(100):
+        world.ask()
+    repeats = len(world.used()) - 100
+    assert repeats <= 0.2 * 100 + 60
+
+
+def test_a_vm_about_to_end_refuses():
+    world = World()
+    world.handler.close()
+    assert world.ask().status == 503
+    assert world.used() == []
+
+
+def test_homes_of_route_and_organisation_both_bind():
+    world = World(home_regions=frozenset({"south"}))
+    assert world.ask().status == 503
+    assert world.used() == []
