--- a/lagoonlatch/entry/news.py
+++ b/lagoonlatch/entry/news.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Sequence
 
 import gevent
 import structlog
@@ -23,7 +23,6 @@
 from lagoonlatch.entry.generated.ttypes import Item, Reading
 from lagoonlatch.entry.sync import StoreSync
 from lagoonlatch.platform.store import Entry
-from lagoonlatch.steering.model import VmRecord
 from lagoonlatch.vms.connection import framed_transport, tune_socket
 
 ASK_AFTER: Millis = 600.0
@@ -80,20 +79,20 @@
 
     Parameters
     ----------
-    list_peers : callable
-        Returns the other VMs, those of this region with True.
+    list_addresses : callable
+        Returns where other VMs listen, ``IP:port``.
     """
 
     def __init__(
         self,
         facts: Facts,
         sync: StoreSync,
-        list_peers: Callable[[], Iterable[tuple[VmRecord, bool]]],
+        list_addresses: Callable[[], Sequence[str]],
         clock: Clock,
     ) -> None:
         self._facts = facts
         self._sync = sync
-        self._list_peers = list_peers
+        self._list_addresses = list_addresses
         self._clock = clock
 
     def run(self) -> None:
@@ -104,20 +103,20 @@
                 self._ask_someone()
 
     def _ask_someone(self) -> None:
-        peers = [peer for peer, _ in self._list_peers()]
-        if not peers:
+        addresses = self._list_addresses()
+        if not addresses:
             return
-        peer = random.choice(peers)
-        result = _call(peer.peer_address, self._sync.revision)
+        peer = random.choice(addresses)
+        result = _call(peer, self._sync.revision)
         if isinstance(result, Failure):
-            _LOG.info("news_failed", peer=peer.id, why=result.failure())
+            _LOG.info("news_failed", peer=peer, why=result.failure())
             return
         reading = result.unwrap()
         if reading.revision > self._sync.revision and self._sync.is_failing:
             entries = [Entry(i.key, i.value, i.revision) for i in reading.items]
             self._facts.take_snapshot(entries)
             self._sync.note_reading(reading.revision)
-            _LOG.info("news_taken", peer=peer.id, revision=reading.revision)
+            _LOG.info("news_taken", peer=peer, revision=reading.revision)
 
 
 def _call(address: str, revision: int) -> Result[Reading, str]:
--- a/lagoonlatch/entry/peers.py
+++ b/lagoonlatch/entry/peers.py
@@ -79,6 +79,14 @@
         """Take the VM's port."""
         self._sock.bind(_to_endpoint(self._me.peer_address))
 
+    def addresses(self) -> list[str]:
+        """Return where VMs listen that are heard, known from the store or not."""
+        return [
+            f"{host}:{port}"
+            for vm, (host, port) in self._address_by_vm.items()
+            if self._table.is_heard(vm)
+        ]
+
     def tell(self) -> None:
         """Tell the other VMs for ever."""
         turn = 0
@@ -157,6 +165,7 @@
 
     def _take(self, datagram: Datagram, address: tuple[str, int]) -> None:
         if datagram.tell is not None:
+            self._address_by_vm[datagram.tell.vm] = address
             self._table.hear(_to_telling(datagram.tell))
         elif datagram.ask is not None:
             ask = datagram.ask
--- a/lagoonlatch/entry/process.py
+++ b/lagoonlatch/entry/process.py
@@ -133,7 +133,9 @@
             clock,
         )
         self._news = NewsServer(self._facts, self._sync)
-        self._news_reader = NewsReader(self._facts, self._sync, self._list_peers, clock)
+        self._news_reader = NewsReader(
+            self._facts, self._sync, self._peers.addresses, clock
+        )
         self._pool = ConnectionPool(clock)
         admission = Admission()
         attempts = Attempts(
--- /dev/null
+++ b/lagoonlatch/standins/instance.py
@@ -0,0 +1,112 @@
+"""A stand-in of an upstream instance that speaks the platform's protocol."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import gevent
+from gevent.pywsgi import WSGIServer
+
+from lagoonlatch.clock import MILLIS_PER_SECOND, Millis
+
+HEALTH_PATH = "/healthz"
+
+
+class InstanceStandin:
+    """Runs requests and counts them.
+
+    Parameters
+    ----------
+    instance_id : str
+        What it is registered as; other ids are answered with 421.
+    work : Millis
+        How long a request takes.
+    slots : int
+        Requests at once; more are turned away.
+
+    Attributes
+    ----------
+    runs_by_request : Counter
+        How often each request id has run.
+    organisations : set of str
+        The organisations that were named to it.
+    seen_keys : int
+        Requests that came with a key, which must not happen.
+    """
+
+    def __init__(self, instance_id: str, work: Millis = 20.0, slots: int = 9) -> None:
+        self.id = instance_id
+        self.address = ""
+        self.runs_by_request: Counter[str] = Counter()
+        self.organisations: set[str] = set()
+        self.seen_keys = 0
+        self._work = work
+        self._slots = slots
+        self._running = 0
+        self._server: WSGIServer | None = None
+
+    def start(self, host: str = "127.0.0.1") -> None:
+        """Start listening."""
+        server = WSGIServer((host, 0), self._respond, log=None, error_log=None)
+        server.start()
+        self._server = server
+        self.address = f"{host}:{server.server_port}"
+
+    def stop(self) -> None:
+        """Stop listening; running requests end."""
+        if self._server is not None:
+            self._server.stop(timeout=1.0)
+
+    def entry(self, service: str, data_centre: str, state: str = "ready") -> dict:
+        """Return what it writes to the store of itself."""
+        return {
+            "service": service,
+            "addr": self.address,
+            "zone": data_centre,
+            "version": "v1",
+            "slots": self._slots,
+            "state": state,
+            "cold_left_s": 0,
+            "seq": 1,
+            "born": 1,
+        }
+
+    def _respond(
+        self, environ: dict[str, Any], start: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        headers = [("Instance-Id", self.id), ("Content-Type", "text/plain")]
+        if environ["PATH_INFO"] == HEALTH_PATH:
+            start("200 OK", headers)
+            return [b"ok"]
+        request = environ.get("HTTP_REQUEST_ID", "")
+        headers.append(("Request-Id", request))
+        if environ.get("HTTP_EXPECT_INSTANCE", self.id) != self.id:
+            start("421 Misdirected Request", headers)
+            return [b""]
+        if self._running >= self._slots:
+            start("503 Service Unavailable", [*headers, ("Not-Run", "1")])
+            return [b""]
+        return self._run(request, environ, headers, start)
+
+    def _run(
+        self,
+        request: str,
+        environ: dict[str, Any],
+        headers: list[tuple[str, str]],
+        start: Callable[..., Any],
+    ) -> Iterable[bytes]:
+        self.runs_by_request[request] += 1
+        self.organisations.add(environ.get("HTTP_TENANT", ""))
+        self.seen_keys += "HTTP_AUTHORIZATION" in environ
+        body = environ["wsgi.input"].read()
+        self._running += 1
+        try:
+            gevent.sleep(self._work / MILLIS_PER_SECOND)
+        finally:
+            self._running -= 1
+        headers.append(("Server-Stamp", f"stamp-{self.id}-{request}"))
+        headers.append(("Server-Load", f"{self._running},0,{self._slots}"))
+        start("200 OK", headers)
+        return [body or environ["PATH_INFO"].encode()]
