Write typed, bounded log lines to standard output; serve metrics

Cause: lines were free text of mixed kinds on standard error, with nothing for a request that went as planned, and nothing measured. Change: one type a line; a request ends with one line; a queue that never blocks and a bound a kind and second, what is left out is counted; counters, gauges, histograms.

--- a/deploy/start.py
+++ b/deploy/start.py
@@ -8,9 +8,10 @@
 
 monkey.patch_all()
 
+import os
 import sys
 
 from lagoonlatch.entry.process import entry
 
 if __name__ == "__main__":
-    sys.exit(entry())
+    sys.exit(entry(metrics_port=int(os.environ.get("LAGOONLATCH_METRICS_PORT", "0"))))
--- a/lagoonlatch/entry/attempts.py
+++ b/lagoonlatch/entry/attempts.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import gevent
-import structlog
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
+from lagoonlatch.entry.events import AttemptFailed, UpstreamGone
+from lagoonlatch.entry.journal import emit
 from lagoonlatch.entry.messages import (
     Answered,
     Failing,
@@ -14,14 +15,15 @@
     Unknown,
     UpstreamAnswer,
     UpstreamRequest,
+    describe_outcome,
 )
+from lagoonlatch.entry.metrics import EntryMetrics
 from lagoonlatch.entry.pool import ConnectionPool
 from lagoonlatch.entry.probes import Prober
 from lagoonlatch.steering.admission import Admission
 from lagoonlatch.steering.upstreams import Fleet, UpstreamState
 
 _FIRST_FAILURE = 500
-_LOG = structlog.get_logger(__name__)
 
 
 class Attempts:
@@ -33,12 +35,14 @@
         pool: ConnectionPool,
         prober: Prober,
         admission: Admission,
+        metrics: EntryMetrics,
         clock: Clock,
     ) -> None:
         self._fleet = fleet
         self._pool = pool
         self._prober = prober
         self._admission = admission
+        self._metrics = metrics
         self._clock = clock
 
     def run(
@@ -57,6 +61,7 @@
             upstream.in_flight -= 1
         duration = self._clock.now() - started
         self._learn(upstream, outcome)
+        self._tell(upstream, request, outcome, duration)
         if isinstance(outcome, Answered) and outcome.answer.status < _FIRST_FAILURE:
             self._admission.note_duration(route, duration)
         return outcome
@@ -89,6 +94,28 @@
         self._pool.put_back(upstream.record, connection)
         return outcome
 
+    def _tell(
+        self,
+        upstream: UpstreamState,
+        request: UpstreamRequest,
+        outcome: Outcome,
+        duration: Millis,
+    ) -> None:
+        name, why = describe_outcome(outcome)
+        self._metrics.attempt_ended(upstream.record.service, name)
+        if isinstance(outcome, Answered):
+            return
+        emit(
+            AttemptFailed(
+                request=request.request_id.decode("latin-1"),
+                upstream=upstream.record.id,
+                outcome=name,
+                why=why,
+                took_ms=round(duration),
+                load=round(upstream.load(), 1),
+            )
+        )
+
     def _learn(self, upstream: UpstreamState, outcome: Outcome) -> None:
         match outcome:
             case Answered(answer):
@@ -100,7 +127,8 @@
             case NotRun(misdirected=True):
                 self._fleet.remove(upstream.record.id)
                 self._pool.drop(upstream.record.id)
-                _LOG.info("upstream_replaced", upstream=upstream.record.id)
+                why = "another upstream has its address"
+                emit(UpstreamGone(upstream=upstream.record.id, why=why))
             case NotRun(reached=True, answer=answer):
                 upstream.note_failure()
                 if answer is not None:
--- a/lagoonlatch/entry/connection.py
+++ b/lagoonlatch/entry/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import traceback
 from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -10,12 +11,13 @@
 
 import gevent
 import h11
-import structlog
 from gevent import socket
 from gevent.event import Event
 from returns.result import Failure, Result, Success
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
+from lagoonlatch.entry.events import CallerBytesRejected, RequestCrashed
+from lagoonlatch.entry.journal import emit
 from lagoonlatch.entry.messages import (
     CONNECTION_FIELDS,
     CallerAnswer,
@@ -37,7 +39,6 @@
 """How often a reader looks whether its connection has become idle."""
 
 _CHUNK = 64 * 1024
-_LOG = structlog.get_logger(__name__)
 
 
 class Handler(Protocol):
@@ -244,7 +245,7 @@
         self._is_ending = True
         pending.wants_close = True
         self._pending.append(pending)
-        _LOG.info("caller_bytes_rejected", status=rejected.status, why=rejected.reason)
+        emit(CallerBytesRejected(status=rejected.status, why=rejected.reason))
         pending.greenlet = gevent.spawn(
             self._finish, pending, CallerAnswer(status=rejected.status)
         )
@@ -255,7 +256,8 @@
             answer = self._handler.handle(pending.request)
         except Exception:
             # A defect of this program; the caller still gets an answer.
-            _LOG.exception("request_crashed")
+            name = pending.request.fields.request_id.decode("latin-1")
+            emit(RequestCrashed(request=name, why=traceback.format_exc()))
             answer = CallerAnswer(status=HTTPStatus.INTERNAL_SERVER_ERROR)
         self._finish(pending, answer)
 
--- a/lagoonlatch/entry/doors.py
+++ b/lagoonlatch/entry/doors.py
@@ -7,6 +7,8 @@
 
 from gevent.pywsgi import WSGIServer
 
+from lagoonlatch.entry.metrics import METRICS_PATH, EntryMetrics
+from lagoonlatch.metrics import CONTENT_TYPE
 from lagoonlatch.platform.directory import (
     LOOKUP_PATH,
     READINESS_PATH,
@@ -48,6 +50,17 @@
     return _serve(address, respond)
 
 
+def serve_metrics(address: str, metrics: EntryMetrics) -> WSGIServer:
+    """Start answering those who collect metrics."""
+
+    def respond(environ: dict[str, Any]) -> tuple[str, str, bytes]:
+        if environ["PATH_INFO"] != METRICS_PATH:
+            return "404 Not Found", "text/plain", b""
+        return "200 OK", CONTENT_TYPE, metrics.render()
+
+    return _serve(address, respond)
+
+
 def _serve(address: str, respond: Responder) -> WSGIServer:
     def application(
         environ: dict[str, Any], start_response: Callable[..., Any]
--- a/lagoonlatch/entry/facts.py
+++ b/lagoonlatch/entry/facts.py
@@ -4,10 +4,21 @@
 
 from collections.abc import Callable, Iterable, Sequence
 
-import structlog
 from returns.result import Failure, Success
 
 from lagoonlatch.clock import Clock, Millis
+from lagoonlatch.entry.events import (
+    ConfigurationInForce,
+    ConfigurationUnreadable,
+    EvacuationsChanged,
+    UpstreamEntryOdd,
+    UpstreamGone,
+    UpstreamKnown,
+    VmEntryOdd,
+    VmGone,
+    VmKnown,
+)
+from lagoonlatch.entry.journal import emit
 from lagoonlatch.platform.kv import Change
 from lagoonlatch.platform.operator_keys import (
     CONFIGURATION_KEY,
@@ -25,8 +36,6 @@
 from lagoonlatch.steering.model import TrafficRules, VmRecord
 from lagoonlatch.steering.upstreams import Fleet
 
-_LOG = structlog.get_logger(__name__)
-
 LAPSE_GRACE: Millis = 2_300.0
 """Upstreams whose entries lapsed during an outage are back within two seconds of its
 end."""
@@ -132,28 +141,34 @@
         elif key.startswith(VM_PREFIX):
             vm = key.removeprefix(VM_PREFIX)
             if self.vms_by_id.pop(vm, None) is not None:
-                _LOG.info("vm_gone", subject=vm)
+                emit(VmGone(subject=vm))
         elif key.startswith(ROSTER_PREFIX):
             self.roster.discard(key.removeprefix(ROSTER_PREFIX))
 
     def _write_rules(self, value: bytes) -> None:
         decoded = decode_configuration(value)
         if isinstance(decoded, Failure):
-            _LOG.warning("configuration_unreadable", why=decoded.failure())
+            emit(ConfigurationUnreadable(why=decoded.failure()))
             return
         rules = decoded.unwrap()
         if self.rules is not None and rules.version <= self.rules.version:
             return
         self.rules = rules
         self.fleet.configure(rules.services_by_id)
-        _LOG.info("configuration_in_force", version=rules.version)
+        emit(
+            ConfigurationInForce(
+                version=rules.version,
+                routes=sum(len(routes) for routes in rules.routes_by_host.values()),
+                organisations=len(rules.organisations_by_id),
+            )
+        )
         for listener in self._on_rules:
             listener(rules)
 
     def _set_evacuated(self, data_centres: set[str]) -> None:
         self._evacuated = data_centres
         self.fleet.evacuate(frozenset(data_centres))
-        _LOG.info("evacuations", data_centres=sorted(data_centres))
+        emit(EvacuationsChanged(data_centres=",".join(sorted(data_centres))))
 
     def _write_upstream(self, key: str, value: bytes) -> None:
         decoded = decode_upstream(key, value)
@@ -162,31 +177,33 @@
         if isinstance(decoded, Success):
             record = decoded.unwrap()
             self.fleet.put(record, was_running=not self._has_read)
-            _LOG.info(
-                "upstream",
-                upstream=upstream_id,
-                service=record.service,
-                draining=record.is_draining,
-                cold_ms=record.cold_left,
+            emit(
+                UpstreamKnown(
+                    upstream=upstream_id,
+                    service=record.service,
+                    data_centre=record.data_centre,
+                    draining=record.is_draining,
+                    cold_ms=round(record.cold_left),
+                )
             )
             return
-        _LOG.warning("upstream_entry_odd", upstream=upstream_id, why=decoded.failure())
+        emit(UpstreamEntryOdd(upstream=upstream_id, why=decoded.failure()))
         self._drop_upstream(upstream_id)
 
     def _drop_upstream(self, upstream_id: str) -> None:
         if self.fleet.find(upstream_id) is None:
             return
         self.fleet.remove(upstream_id)
-        _LOG.info("upstream_gone", upstream=upstream_id)
+        emit(UpstreamGone(upstream=upstream_id, why="its entry is gone"))
         for listener in self._on_upstream_gone:
             listener(upstream_id)
 
     def _write_vm(self, key: str, value: bytes) -> None:
         decoded = decode_vm(key, value)
         if isinstance(decoded, Failure):
-            _LOG.warning("vm_entry_odd", why=decoded.failure())
+            emit(VmEntryOdd(why=decoded.failure()))
             return
         record = decoded.unwrap()
         self.vms_by_id[record.id] = record
         self.known_vms_by_id[record.id] = record
-        _LOG.info("vm", subject=record.id, ready=record.is_ready, run=record.run)
+        emit(VmKnown(subject=record.id, ready=record.is_ready, run=record.run))
--- a/lagoonlatch/entry/handling.py
+++ b/lagoonlatch/entry/handling.py
@@ -7,12 +7,13 @@
 from http import HTTPStatus
 
 import gevent
-import structlog
 from gevent.event import AsyncResult
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
 from lagoonlatch.entry.attempts import Attempts
+from lagoonlatch.entry.events import RequestEnded
 from lagoonlatch.entry.facts import Facts
+from lagoonlatch.entry.journal import emit
 from lagoonlatch.entry.messages import (
     CONNECTION_FIELDS,
     Answered,
@@ -20,11 +21,11 @@
     CallerRequest,
     Failing,
     NotRun,
-    Outcome,
     Unknown,
     UpstreamAnswer,
     UpstreamRequest,
 )
+from lagoonlatch.entry.metrics import EntryMetrics
 from lagoonlatch.platform.headers import (
     is_own_request_field,
     own_request_fields,
@@ -48,7 +49,6 @@
 NO_UPSTREAM_RETRY: Millis = 500.0
 """When to come back if no upstream may take the request."""
 
-_LOG = structlog.get_logger(__name__)
 _RETRIED_STATUSES = frozenset({500, 502, 503, 504})
 
 
@@ -67,6 +67,7 @@
     may_have_run: bool = False
     failed_answer: UpstreamAnswer | None = None
     last: str = ""
+    waited: Millis = 0.0
 
     def object_name(self) -> str:
         """Return what the request is about; empty if it doesn't matter."""
@@ -115,6 +116,7 @@
         waiting: WaitingRoom,
         count_sharers: Callable[[], int],
         borrow: Callable[[str], bool],
+        metrics: EntryMetrics,
         clock: Clock,
     ) -> None:
         self._facts = facts
@@ -126,6 +128,7 @@
         self._waiting = waiting
         self._count_sharers = count_sharers
         self._borrow = borrow
+        self._metrics = metrics
         self._clock = clock
         self._splitter = Splitter()
         self._is_closed = False
@@ -167,7 +170,7 @@
         if organisation is not None:
             wait = self._take_token(organisation.id)
             if wait is not None:
-                self._log(journey, HTTPStatus.TOO_MANY_REQUESTS, "over allowance")
+                self._end(journey, HTTPStatus.TOO_MANY_REQUESTS, "over allowance")
                 return CallerAnswer(
                     status=HTTPStatus.TOO_MANY_REQUESTS, headers=[retry_after(wait)]
                 )
@@ -226,10 +229,14 @@
             return None
         seat = _Seat()
         number = self._waiting.enter(urgency, candidates, seat)
+        since = self._clock.now()
         try:
             return seat.await_offer(longest)
         finally:
             self._waiting.leave(number)
+            waited = self._clock.now() - since
+            journey.waited += waited
+            self._metrics.waited(journey.service, waited)
 
     def _attempt(
         self, journey: _Journey, upstream: UpstreamState, left: Millis
@@ -245,7 +252,7 @@
             journey.route.id,
         )
         self._waiting.offer_slots()
-        journey.last = f"{upstream.record.id}: {_describe(outcome)}"
+        journey.last = upstream.record.id
         if not (isinstance(outcome, NotRun) and not outcome.reached):
             journey.reached += 1
         match outcome:
@@ -268,8 +275,8 @@
         if answer.status in _RETRIED_STATUSES and self._may_repeat(journey):
             journey.failed_answer = answer
             return None
-        if answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
-            self._log(journey, answer.status, "upstream failed")
+        failed = answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        self._end(journey, answer.status, "upstream failed" if failed else "")
         return _pass_on(answer)
 
     def _may_repeat(self, journey: _Journey) -> bool:
@@ -281,30 +288,35 @@
         self, journey: _Journey, reason: str, wait: Millis = NO_UPSTREAM_RETRY
     ) -> CallerAnswer:
         if journey.failed_answer is not None:
-            self._log(journey, journey.failed_answer.status, reason)
+            self._end(journey, journey.failed_answer.status, reason)
             return _pass_on(journey.failed_answer)
         if not journey.may_have_run:
-            self._log(journey, HTTPStatus.SERVICE_UNAVAILABLE, reason)
+            self._end(journey, HTTPStatus.SERVICE_UNAVAILABLE, reason)
             return _refusal(wait)
         is_late = self._clock.now() >= journey.deadline
         status = HTTPStatus.GATEWAY_TIMEOUT if is_late else HTTPStatus.BAD_GATEWAY
-        self._log(journey, status, reason)
+        self._end(journey, status, reason)
         return CallerAnswer(status=status)
 
-    def _log(self, journey: _Journey, status: int, reason: str) -> None:
+    def _end(self, journey: _Journey, status: int, why: str) -> None:
         request = journey.request
-        _LOG.info(
-            "request_failed",
-            request=request.fields.request_id.decode("latin-1"),
-            status=int(status),
-            why=reason,
-            route=journey.route.id,
-            service=journey.service,
-            organisation=journey.organisation.id if journey.organisation else "",
-            after_ms=round(self._clock.now() - request.received),
-            attempts=journey.reached,
-            last=journey.last,
-            config=self._facts.rules.version if self._facts.rules else 0,
+        total = self._clock.now() - request.received
+        self._metrics.request_ended(journey.route.id, int(status), why, total)
+        organisation = journey.organisation
+        emit(
+            RequestEnded(
+                request=request.fields.request_id.decode("latin-1"),
+                status=int(status),
+                why=why,
+                route=journey.route.id,
+                service=journey.service,
+                organisation=organisation.id if organisation is not None else "",
+                upstream=journey.last,
+                attempts=journey.reached,
+                waited_ms=round(journey.waited),
+                total_ms=round(total),
+                config=self._facts.rules.version if self._facts.rules else 0,
+            )
         )
 
 
@@ -358,13 +370,3 @@
     return CallerAnswer(
         status=HTTPStatus.SERVICE_UNAVAILABLE, headers=[retry_after(wait)]
     )
-
-
-def _describe(outcome: Outcome) -> str:
-    match outcome:
-        case Answered(answer):
-            return f"answered {answer.status}"
-        case NotRun(reason=reason):
-            return f"not run, {reason}"
-        case Unknown(how=how, reason=reason):
-            return f"{how.value}, {reason}"
--- a/lagoonlatch/entry/messages.py
+++ b/lagoonlatch/entry/messages.py
@@ -135,10 +135,12 @@
 Outcome = Answered | NotRun | Unknown
 
 
-@dataclass(frozen=True)
-class AttemptNote:
-    """What happened at one upstream, for the log."""
-
-    upstream: str
-    outcome: str
-    duration: Millis
+def describe_outcome(outcome: Outcome) -> tuple[str, str]:
+    """Return an outcome's name and its reason, for logs and metrics."""
+    match outcome:
+        case Answered(answer):
+            return "answered", str(answer.status)
+        case NotRun(reason=reason, reached=reached):
+            return "turned-away" if reached else "not-sent", reason
+        case Unknown(how=how, reason=reason):
+            return how.value, reason
--- /dev/null
+++ b/lagoonlatch/entry/metrics.py
@@ -0,0 +1,98 @@
+"""Counters, gauges and histograms of an entry VM."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+from lagoonlatch.clock import Millis
+from lagoonlatch.metrics import LATENCY_BUCKETS
+
+METRICS_PATH = "/metrics"
+
+
+class EntryMetrics:
+    """The metrics; its method names say what happened.
+
+    Parameters
+    ----------
+    vm, data_centre : str
+        Labels of every metric.
+    """
+
+    def __init__(self, vm: str, data_centre: str) -> None:
+        self._registry = Registry()
+        self._labels = {"vm": vm, "data_centre": data_centre}
+        self._gauges: list[tuple[Gauge, Callable[[], float]]] = []
+        self._requests = self._counter("requests_total", "Requests by route and status")
+        self._refusals = self._counter("refusals_total", "Refused requests by reason")
+        self._attempts = self._counter(
+            "attempts_total", "Attempts at upstreams by service and outcome"
+        )
+        self._latency = self._histogram(
+            "request_milliseconds", "From a request's header to its answer, by route"
+        )
+        self._waiting = self._histogram(
+            "waiting_milliseconds", "Waiting for a slot, by service"
+        )
+        self._store = self._histogram("store_call_milliseconds", "Calls to the store")
+        self._store_calls = self._counter(
+            "store_calls_total", "Calls to the store by call and result"
+        )
+
+    def request_ended(self, route: str, status: int, why: str, total: Millis) -> None:
+        """Count a final answer."""
+        self._requests.inc({"route": route, "status": str(status)})
+        self._latency.observe({"route": route}, total)
+        if why:
+            self._refusals.inc({"reason": why})
+
+    def attempt_ended(self, service: str, outcome: str) -> None:
+        """Count an attempt at an upstream."""
+        self._attempts.inc({"service": service, "outcome": outcome})
+
+    def waited(self, service: str, duration: Millis) -> None:
+        """Note how long a request waited for a slot."""
+        self._waiting.observe({"service": service}, duration)
+
+    def store_called(self, call: str, result: str, duration: Millis) -> None:
+        """Count a call to the store; a waiting watch isn't timed."""
+        self._store_calls.inc({"call": call, "result": result})
+        if call != "watch":
+            self._store.observe({"call": call}, duration)
+
+    def add_gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
+        """Show what `read` returns when the metrics are asked for."""
+        gauge = Gauge(
+            f"lagoonlatch_{name}",
+            text,
+            const_labels=self._labels,
+            registry=self._registry,
+        )
+        self._gauges.append((gauge, read))
+
+    def render(self) -> bytes:
+        """Return the text form."""
+        for gauge, read in self._gauges:
+            gauge.set({}, read())
+        content, _ = render(self._registry, [])
+        return content
+
+    def _counter(self, name: str, text: str) -> Counter:
+        return Counter(
+            f"lagoonlatch_{name}",
+            text,
+            const_labels=self._labels,
+            registry=self._registry,
+        )
+
+    def _histogram(self, name: str, text: str) -> Histogram:
+        return Histogram(
+            f"lagoonlatch_{name}",
+            text,
+            const_labels=self._labels,
+            registry=self._registry,
+            buckets=LATENCY_BUCKETS,
+        )
--- a/lagoonlatch/entry/news.py
+++ b/lagoonlatch/entry/news.py
@@ -10,7 +10,6 @@
 from collections.abc import Callable, Sequence
 
 import gevent
-import structlog
 from gevent import socket
 from gevent.server import StreamServer
 from returns.result import Failure, Result, Success
@@ -18,9 +17,11 @@
 from thrift.Thrift import TException
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
+from lagoonlatch.entry.events import NewsFailed, NewsTaken
 from lagoonlatch.entry.facts import Facts
 from lagoonlatch.entry.generated import News
 from lagoonlatch.entry.generated.ttypes import Item, Reading
+from lagoonlatch.entry.journal import emit
 from lagoonlatch.entry.sync import StoreSync
 from lagoonlatch.platform.store import Entry
 from lagoonlatch.vms.connection import framed_transport, tune_socket
@@ -34,8 +35,6 @@
 CALL_TIMEOUT: Millis = 800.0
 """Longest call: some round trips between regions, and the items' transfer."""
 
-_LOG = structlog.get_logger(__name__)
-
 
 class NewsServer:
     """Answers VMs that the store turns away."""
@@ -69,7 +68,7 @@
             with gevent.Timeout(CALL_TIMEOUT / MILLIS_PER_SECOND, TimeoutError):
                 processor.process(protocol, protocol)
         except (OSError, EOFError, TException) as error:
-            _LOG.debug("news_call_failed", why=str(error))
+            emit(NewsFailed(peer="caller", why=str(error)))
         finally:
             sock.close()
 
@@ -109,14 +108,14 @@
         peer = random.choice(addresses)
         result = _call(peer, self._sync.revision)
         if isinstance(result, Failure):
-            _LOG.info("news_failed", peer=peer, why=result.failure())
+            emit(NewsFailed(peer=peer, why=result.failure()))
             return
         reading = result.unwrap()
         if reading.revision > self._sync.revision and self._sync.is_failing:
             entries = [Entry(i.key, i.value, i.revision) for i in reading.items]
             self._facts.take_snapshot(entries)
             self._sync.note_reading(reading.revision)
-            _LOG.info("news_taken", peer=peer, revision=reading.revision)
+            emit(NewsTaken(peer=peer, revision=reading.revision))
 
 
 def _call(address: str, revision: int) -> Result[Reading, str]:
--- a/lagoonlatch/entry/peers.py
+++ b/lagoonlatch/entry/peers.py
@@ -6,14 +6,15 @@
 from collections.abc import Callable, Iterable
 
 import gevent
-import structlog
 from gevent import socket
 from gevent.event import AsyncResult
 from thrift.protocol.TBinaryProtocol import TBinaryProtocolAcceleratedFactory
 from thrift.TSerialization import deserialize, serialize
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
+from lagoonlatch.entry.events import DatagramLost, DatagramUnreadable
 from lagoonlatch.entry.generated.ttypes import Ask, Datagram, Loan, Tell
+from lagoonlatch.entry.journal import emit
 from lagoonlatch.steering.allowances import Allowances
 from lagoonlatch.steering.model import VmRecord
 from lagoonlatch.steering.peers import PeerTable, Telling
@@ -34,7 +35,6 @@
 MAX_DATAGRAM = 8_192
 """Largest datagram that is read; what VMs tell stays far below."""
 
-_LOG = structlog.get_logger(__name__)
 _PROTOCOL = TBinaryProtocolAcceleratedFactory()
 
 
@@ -106,13 +106,13 @@
                 data, address = self._sock.recvfrom(MAX_DATAGRAM)
             except OSError as error:
                 # A peer's closed port is reported on the socket.
-                _LOG.debug("peer_port_closed", why=str(error))
+                emit(DatagramLost(peer="", why=str(error)))
                 continue
             try:
                 datagram = deserialize(Datagram(), data, _PROTOCOL)
             except Exception as error:
                 # Whatever the codec raises: the bytes are no datagram of a peer.
-                _LOG.warning("datagram_unreadable", source=address[0], why=repr(error))
+                emit(DatagramUnreadable(source=address[0], why=repr(error)))
                 continue
             self._take(datagram, address)
 
@@ -197,7 +197,7 @@
         try:
             self._sock.sendto(data, address)
         except OSError as error:
-            _LOG.debug("datagram_not_sent", peer=address[0], why=str(error))
+            emit(DatagramLost(peer=address[0], why=str(error)))
 
 
 def _to_endpoint(address: str) -> tuple[str, int]:
--- a/lagoonlatch/entry/probes.py
+++ b/lagoonlatch/entry/probes.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import gevent
-import structlog
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
+from lagoonlatch.entry.events import UpstreamSuspected, UpstreamTrusted
 from lagoonlatch.entry.exchange import UpstreamConnection
 from lagoonlatch.entry.facts import Facts
+from lagoonlatch.entry.journal import emit
 from lagoonlatch.entry.messages import Answered, Outcome, UpstreamRequest
 from lagoonlatch.platform.headers import health_request_fields
 from lagoonlatch.steering.upstreams import UpstreamState
@@ -19,7 +20,6 @@
 LONGEST_PAUSE: Millis = 1_000.0
 """Bounds of the growing pause between checks."""
 
-_LOG = structlog.get_logger(__name__)
 _OK = 200
 
 
@@ -35,18 +35,19 @@
         if upstream.is_suspect or upstream.is_gone:
             return
         upstream.is_suspect = True
-        _LOG.info("upstream_suspected", upstream=upstream.record.id, why=reason)
+        emit(UpstreamSuspected(upstream=upstream.record.id, why=reason))
         gevent.spawn(self._probe_until_known, upstream)
 
     def _probe_until_known(self, upstream: UpstreamState) -> None:
         pause = FIRST_PAUSE
+        since = self._clock.now()
         while upstream.is_suspect and not upstream.is_gone:
-            if self._probe(upstream):
+            if self._probe(upstream, since):
                 return
             gevent.sleep(pause / MILLIS_PER_SECOND)
             pause = min(pause * 2.0, LONGEST_PAUSE)
 
-    def _probe(self, upstream: UpstreamState) -> bool:
+    def _probe(self, upstream: UpstreamState, since: Millis) -> bool:
         rules = self._facts.rules
         service = rules and rules.services_by_id.get(upstream.record.service)
         if not service:
@@ -58,8 +59,12 @@
         if fields.upstream and fields.upstream != upstream.record.id:
             return False
         upstream.clear_suspicion(fields.cold_left)
-        _LOG.info(
-            "upstream_trusted", upstream=upstream.record.id, cold_ms=fields.cold_left
+        emit(
+            UpstreamTrusted(
+                upstream=upstream.record.id,
+                after_ms=round(self._clock.now() - since),
+                cold_ms=round(fields.cold_left),
+            )
         )
         return True
 
--- a/lagoonlatch/entry/process.py
+++ b/lagoonlatch/entry/process.py
@@ -7,7 +7,6 @@
 from dataclasses import replace
 
 import gevent
-import structlog
 from gevent import socket
 from gevent.event import Event
 from gevent.server import StreamServer
@@ -16,9 +15,24 @@
 from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
 from lagoonlatch.entry.attempts import Attempts
 from lagoonlatch.entry.connection import CallerConnection
-from lagoonlatch.entry.doors import serve_lookups, serve_readiness
+from lagoonlatch.entry.doors import serve_lookups, serve_metrics, serve_readiness
+from lagoonlatch.entry.events import (
+    Reloaded,
+    ReloadFailed,
+    Started,
+    Stopped,
+    Stopping,
+    TaskFailed,
+)
 from lagoonlatch.entry.facts import Facts
 from lagoonlatch.entry.handling import RequestHandler
+from lagoonlatch.entry.journal import (
+    LineQueue,
+    emit,
+    start_output,
+    write_for_ever,
+)
+from lagoonlatch.entry.metrics import EntryMetrics
 from lagoonlatch.entry.news import NewsReader, NewsServer
 from lagoonlatch.entry.peers import PeerLink
 from lagoonlatch.entry.pool import ConnectionPool
@@ -46,6 +60,9 @@
 """A leaving VM takes requests for so long, from callers with an older look-up; after
 that it only ends those that it has taken."""
 
+OUTPUT_PATIENCE: Millis = 200.0
+"""How long the end of the process waits for the reader of its last lines."""
+
 DRAIN_POLL: Millis = 50.0
 """How often a leaving VM looks whether all is answered."""
 
@@ -59,14 +76,17 @@
 """How often waiting requests look for slots that others left; below a tenth of the
 shortest work."""
 
-_LOG = structlog.get_logger(__name__)
-
 
 class EntryProcess:
     """Puts the parts of an entry VM together."""
 
-    def __init__(self, settings: VmSettings) -> None:
+    def __init__(
+        self, settings: VmSettings, output: LineQueue, metrics_port: int
+    ) -> None:
         self._settings = settings
+        self._output = output
+        self._metrics_port = metrics_port
+        self._metrics = EntryMetrics(settings.vm, settings.data_centre)
         self._clock = Clock()
         self._store = KeyValueStore.from_address(settings.store_address)
         self._stop = Event()
@@ -82,16 +102,19 @@
         self._build()
 
     @classmethod
-    def from_settings(cls, settings: VmSettings) -> EntryProcess:
+    def from_settings(
+        cls, settings: VmSettings, output: LineQueue, metrics_port: int = 0
+    ) -> EntryProcess:
         """Return the process of the VM that `settings` describe."""
-        return cls(settings)
+        return cls(settings, output, metrics_port)
 
     def run(self) -> ExitCode:
         """Serve until a signal asks to stop."""
         gevent.signal_handler(signal.SIGTERM, self._stop.set)
         gevent.signal_handler(signal.SIGINT, self._stop.set)
         gevent.signal_handler(signal.SIGHUP, self._reload)
-        _LOG.info("started", first_start=self._settings.is_first_start)
+        emit(Started(first_start=self._settings.is_first_start, run=self._me.run))
+        self._spawn(lambda: write_for_ever(self._output))
         self._listen()
         self._peers.listen()
         self._spawn(self._peers.receive)
@@ -105,7 +128,7 @@
         self._spawn(self._offer_slots)
         self._stop.wait()
         self._leave()
-        _LOG.info("stopped")
+        self._output.finish(OUTPUT_PATIENCE)
         return ExitCode.DONE
 
     def _build(self) -> None:
@@ -143,6 +166,7 @@
             self._pool,
             Prober(self._facts, clock),
             admission,
+            self._metrics,
             clock,
         )
         placement = Placement(
@@ -168,6 +192,7 @@
             self._waiting,
             self._count_neighbours,
             self._peers.borrow,
+            self._metrics,
             clock,
         )
         self._lookup = Lookup(
@@ -175,9 +200,26 @@
             settings.region_by_data_centre,
             bounds.longest_lookup_ttl,
         )
+        self._add_gauges()
         self._facts.on_rules(self._follow_rules)
         self._facts.on_upstream_gone(self._pool.drop)
 
+    def _add_gauges(self) -> None:
+        add = self._metrics.add_gauge
+        add("configuration_version", "Version in force", self._version)
+        add("store_revision", "Up to which facts are known", self._revision)
+        add("store_failing_milliseconds", "0 if it answers", self._sync.failing_for)
+        add("upstreams", "Upstreams known", lambda: len(self._fleet.ids()))
+        add("vms", "VMs that callers may be sent to", lambda: len(self._ready_vms()))
+        add("waiting_requests", "Waiting for a slot", lambda: len(self._waiting))
+        add("caller_connections", "Open", lambda: len(self._connections))
+
+    def _version(self) -> int:
+        return self._facts.rules.version if self._facts.rules is not None else 0
+
+    def _revision(self) -> int:
+        return self._sync.revision
+
     def _follow_rules(self, rules: TrafficRules) -> None:
         self._cold_ramp.configure(rules.services_by_id)
         self._allowances.configure(rules.organisations_by_id)
@@ -192,6 +234,9 @@
         self._readiness = serve_readiness(
             self._settings.readiness_address, self._is_ready
         )
+        if self._metrics_port:
+            host, _, _ = self._settings.caller_address.rpartition(":")
+            serve_metrics(f"{host}:{self._metrics_port}", self._metrics)
 
     def _serve_caller(self, sock: socket.socket, _address: tuple) -> None:
         connection = CallerConnection(
@@ -259,15 +304,15 @@
     def _reload(self) -> None:
         read = VmSettings.from_environment()
         if isinstance(read, Failure):
-            _LOG.error("reload_failed", why=read.failure())
+            emit(ReloadFailed(why=read.failure()))
             return
         self._settings = replace(read.unwrap(), is_first_start=False)
-        _LOG.info("reloaded")
+        emit(Reloaded(store=self._settings.store_address))
 
     def _leave(self) -> None:
         """Answer what has been read, send callers elsewhere, then end."""
         started = self._clock.now()
-        _LOG.info("stopping", connections=len(self._connections))
+        emit(Stopping(connections=len(self._connections)))
         self._peers.tell_leaving()
         gevent.spawn(self._registration.leave)
         gevent.sleep(LINGER / MILLIS_PER_SECOND)
@@ -278,9 +323,10 @@
             for connection in list(self._connections):
                 connection.close_if_idle()
             if not self._connections:
-                return
+                break
             gevent.sleep(DRAIN_POLL / MILLIS_PER_SECOND)
-        _LOG.warning("stopped_with_requests", connections=len(self._connections))
+        after = round(self._clock.now() - started)
+        emit(Stopped(connections=len(self._connections), after_ms=after))
 
     def _spawn(self, task) -> None:
         """Run a task that lasts as long as the process."""
@@ -288,20 +334,26 @@
         greenlet.link_exception(self._end_broken)
 
     def _end_broken(self, greenlet: gevent.Greenlet) -> None:
-        _LOG.error("task_failed", why=repr(greenlet.exception))
-        sys.stdout.flush()
+        emit(TaskFailed(why=repr(greenlet.exception)))
+        self._output.drain()
         gevent.get_hub().handle_system_error(SystemExit, SystemExit(ExitCode.FAILED))
 
 
-def entry() -> int:
+def entry(*, metrics_port: int = 0) -> int:
     """Run an entry VM on the users' platform.
 
     The environment variable LAGOONLATCH_CONFIG names the settings file.
+
+    Parameters
+    ----------
+    metrics_port : int
+        Where metrics are served on the VM's address; 0 for nowhere.
     """
     settings = VmSettings.from_environment()
     if isinstance(settings, Failure):
         print(settings.failure(), file=sys.stderr)
         return ExitCode.BAD_INPUT
     vm = settings.unwrap()
-    configure_logs("json", vm=vm.vm, data_centre=vm.data_centre)
-    return EntryProcess.from_settings(vm).run()
+    output = start_output()
+    configure_logs("json", output=output, vm=vm.vm, data_centre=vm.data_centre)
+    return EntryProcess.from_settings(vm, output, metrics_port).run()
--- a/lagoonlatch/entry/registration.py
+++ b/lagoonlatch/entry/registration.py
@@ -5,10 +5,11 @@
 from dataclasses import replace
 
 import gevent
-import structlog
 from returns.result import Failure, Result
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
+from lagoonlatch.entry.events import RegistrationFailed
+from lagoonlatch.entry.journal import emit
 from lagoonlatch.platform.kv import KeyValueStore
 from lagoonlatch.platform.registrations import ROSTER_PREFIX, VM_PREFIX, encode_vm
 from lagoonlatch.platform.store import StoreConflict, StoreError, StoreLeaseEnded
@@ -23,8 +24,6 @@
 RETRY_INTERVAL: Millis = 500.0
 """Pause after a failed call."""
 
-_LOG = structlog.get_logger(__name__)
-
 
 class Registration:
     """Keeps the VM's entry alive under a lease, and its name in the roster."""
@@ -91,4 +90,4 @@
 
     def _log_failure(self, step: str, result: Result[object, StoreError]) -> None:
         if isinstance(result, Failure):
-            _LOG.warning("registration_failed", step=step, why=str(result.failure()))
+            emit(RegistrationFailed(step=step, why=str(result.failure())))
--- a/lagoonlatch/entry/sync.py
+++ b/lagoonlatch/entry/sync.py
@@ -5,11 +5,12 @@
 import random
 
 import gevent
-import structlog
 from returns.result import Failure
 
 from lagoonlatch.clock import Clock, Millis
+from lagoonlatch.entry.events import StoreLost, StoreRegained, WatchHistoryGone
 from lagoonlatch.entry.facts import Facts
+from lagoonlatch.entry.journal import emit
 from lagoonlatch.platform.kv import HistoryGone, KeyValueStore, Watch
 from lagoonlatch.platform.store import StoreError
 
@@ -30,8 +31,6 @@
 OUTAGE: Millis = 1_000.0
 """A store that has failed for so long may have let entries lapse."""
 
-_LOG = structlog.get_logger(__name__)
-
 
 class StoreSync:
     """Keeps the facts up to date with the store.
@@ -111,7 +110,7 @@
             # What happened meanwhile is read anew.
             self._needs_reading = True
             if isinstance(error, HistoryGone):
-                _LOG.info("watch_history_gone")
+                emit(WatchHistoryGone(revision=self.revision))
                 return None
             return error
         self._note_success()
@@ -127,13 +126,13 @@
             outage = self._clock.now() - self._failing_since
             if outage > OUTAGE:
                 self._facts.note_outage_end()
-            _LOG.info("store_regained", outage_ms=round(outage))
+            emit(StoreRegained(outage_ms=round(outage), revision=self.revision))
         self._failing_since = None
         self._pause = RETRY_FIRST
 
     def _note_failure(self, error: StoreError) -> None:
         if self._failing_since is None:
             self._failing_since = self._clock.now()
-            _LOG.warning("store_lost", why=str(error))
+            emit(StoreLost(why=str(error), revision=self.revision))
         gevent.sleep(self._pause * random.uniform(0.7, 1.3) / 1_000.0)
         self._pause = min(self._pause * 2.0, RETRY_MOST)
--- a/lagoonlatch/logs.py
+++ b/lagoonlatch/logs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import sys
+from typing import TextIO
 
 import structlog
 
@@ -18,7 +19,12 @@
     return event_dict
 
 
-def configure_logs(log_format: str, log_level: str = "info", **context: str) -> None:
+def configure_logs(
+    log_format: str,
+    log_level: str = "info",
+    output: TextIO | None = None,
+    **context: str,
+) -> None:
     """Set the format of the process's logs and the fields of every line.
 
     Parameters
@@ -27,6 +33,8 @@
         One JSON object a line, or text for people.
     log_level : {"debug", "info", "warning", "error"}
         Lines below it are left out; requests are logged at "debug".
+    output : file, optional
+        Takes the lines; standard error by default.
     **context : str
         Fields added to every line, such as the VM and its data centre.
     """
@@ -44,7 +52,7 @@
             renderer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(log_level),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(output or sys.stderr),
         cache_logger_on_first_use=True,
     )
     structlog.contextvars.bind_contextvars(**context)
--- a/tests/entry/test_handling.py
+++ b/tests/entry/test_handling.py
@@ -12,6 +12,7 @@
     Unknown,
     UpstreamAnswer,
 )
+from lagoonlatch.entry.metrics import EntryMetrics
 from lagoonlatch.platform.headers import read_answer_fields, read_request_fields
 from lagoonlatch.standins.manual_clock import ManualClock
 from lagoonlatch.steering.admission import Admission
@@ -95,6 +96,7 @@
             WaitingRoom(placement, self.clock),
             lambda: 1,
             lambda _: False,
+            EntryMetrics("vm", "n-a"),
             self.clock,
         )
 
