Refuse a request that has ended three upstreams; a line for each request turned away

Cause: a request that crashes the upstreams which run it comes again with the same path, caller and body, at any VM; nothing kept it from the next upstream. Change: an upstream that breaks off a request and then fails its health check counts as ended by it; the count is told to the other VMs, a whole answer clears it, at three the request is refused. Requests without route or key and those of a VM without a configuration get their line too. Ruled out: counting every reset, since answers are lost at upstreams that live.

--- a/lagoonlatch/entry/attempts.py
+++ b/lagoonlatch/entry/attempts.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import gevent
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
-from lagoonlatch.entry.events import AttemptFailed, UpstreamGone
+from lagoonlatch.entry.events import AttemptFailed, RequestQuarantined, UpstreamGone
 from lagoonlatch.entry.journal import emit
 from lagoonlatch.entry.messages import (
     Answered,
@@ -22,6 +24,7 @@
 from lagoonlatch.entry.probes import Prober
 from lagoonlatch.steering.admission import Admission
 from lagoonlatch.steering.upstreams import Fleet, UpstreamState
+from lagoonlatch.upstreams.quarantine import Quarantine, SuspectReport
 
 _FIRST_FAILURE = 500
 
@@ -35,6 +38,8 @@
         pool: ConnectionPool,
         prober: Prober,
         admission: Admission,
+        quarantine: Quarantine,
+        tell_suspect: Callable[[SuspectReport], None],
         metrics: EntryMetrics,
         clock: Clock,
     ) -> None:
@@ -42,6 +47,8 @@
         self._pool = pool
         self._prober = prober
         self._admission = admission
+        self._quarantine = quarantine
+        self._tell_suspect = tell_suspect
         self._metrics = metrics
         self._clock = clock
 
@@ -51,8 +58,15 @@
         request: UpstreamRequest,
         time_left: Millis,
         route: str,
+        fingerprint: str,
     ) -> Outcome:
-        """Send a request of `route`; return its outcome within `time_left`."""
+        """Send a request of `route`; return its outcome within `time_left`.
+
+        Parameters
+        ----------
+        fingerprint : str
+            Names the request and its repeats by the caller.
+        """
         started = self._clock.now()
         upstream.in_flight += 1
         try:
@@ -60,7 +74,7 @@
         finally:
             upstream.in_flight -= 1
         duration = self._clock.now() - started
-        self._learn(upstream, outcome)
+        self._learn(upstream, outcome, fingerprint)
         self._tell(upstream, request, outcome, duration)
         if isinstance(outcome, Answered) and outcome.answer.status < _FIRST_FAILURE:
             self._admission.note_duration(route, duration)
@@ -116,9 +130,12 @@
             )
         )
 
-    def _learn(self, upstream: UpstreamState, outcome: Outcome) -> None:
+    def _learn(
+        self, upstream: UpstreamState, outcome: Outcome, fingerprint: str
+    ) -> None:
         match outcome:
             case Answered(answer):
+                self._quarantine.clear(fingerprint)
                 self._learn_load(upstream, answer)
                 if answer.status < _FIRST_FAILURE:
                     upstream.note_success()
@@ -136,10 +153,19 @@
             case Unknown(how=Failing.RESET | Failing.CLOSED, reason=reason):
                 upstream.note_failure()
                 if not self._pool.has_living(upstream.record):
-                    self._prober.suspect(upstream, reason)
+                    self._prober.suspect(
+                        upstream, reason, lambda: self._note_death(fingerprint)
+                    )
             case Unknown():
                 upstream.note_failure()
 
+    def _note_death(self, fingerprint: str) -> None:
+        """Count an upstream that died while it ran a request, and tell the others."""
+        report = self._quarantine.count_death(fingerprint)
+        self._tell_suspect(report)
+        if self._quarantine.refused_for(fingerprint):
+            emit(RequestQuarantined(fingerprint=fingerprint, deaths=report.deaths))
+
     def _learn_load(self, upstream: UpstreamState, answer: UpstreamAnswer) -> None:
         load = answer.fields.load
         if load is not None:
--- a/lagoonlatch/entry/events.py
+++ b/lagoonlatch/entry/events.py
@@ -75,6 +75,14 @@
     load: float
 
 
+@log_event(logging.WARNING)
+class RequestQuarantined(LogEvent):
+    """A request has ended so many upstreams that it is refused for a while."""
+
+    fingerprint: str
+    deaths: int
+
+
 @log_event()
 class CallerBytesRejected(LogEvent):
     """A caller's bytes were no request that can be served."""
--- a/lagoonlatch/entry/handling.py
+++ b/lagoonlatch/entry/handling.py
@@ -7,6 +7,7 @@
 from http import HTTPStatus
 
 import gevent
+import xxhash
 from gevent.event import AsyncResult
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
@@ -39,6 +40,7 @@
 from lagoonlatch.steering.repeats import RepeatBudget
 from lagoonlatch.steering.splits import Splitter
 from lagoonlatch.steering.upstreams import UpstreamState
+from lagoonlatch.upstreams.quarantine import Quarantine
 
 UNREADY_RETRY: Millis = 1_000.0
 """When to come back to a VM that knows no configuration yet."""
@@ -68,6 +70,7 @@
     failed_answer: UpstreamAnswer | None = None
     last: str = ""
     waited: Millis = 0.0
+    fingerprint: str = ""
 
     def object_name(self) -> str:
         """Return what the request is about; empty if it doesn't matter."""
@@ -116,6 +119,7 @@
         waiting: WaitingRoom,
         count_sharers: Callable[[], int],
         borrow: Callable[[str], bool],
+        quarantine: Quarantine,
         metrics: EntryMetrics,
         clock: Clock,
     ) -> None:
@@ -128,6 +132,7 @@
         self._waiting = waiting
         self._count_sharers = count_sharers
         self._borrow = borrow
+        self._quarantine = quarantine
         self._metrics = metrics
         self._clock = clock
         self._splitter = Splitter()
@@ -141,19 +146,52 @@
         """Return the final answer to a request."""
         rules = self._facts.rules
         if self._is_closed:
-            return _refusal(LEAVING_RETRY)
+            why = "the VM is about to end"
+            return self._turn_away(
+                request, HTTPStatus.SERVICE_UNAVAILABLE, why, LEAVING_RETRY
+            )
         if rules is None:
-            return _refusal(UNREADY_RETRY)
+            why = "no configuration known"
+            return self._turn_away(
+                request, HTTPStatus.SERVICE_UNAVAILABLE, why, UNREADY_RETRY
+            )
         route = rules.find_route(request.host, request.path)
         if route is None:
-            return CallerAnswer(status=HTTPStatus.NOT_FOUND)
+            return self._turn_away(request, HTTPStatus.NOT_FOUND, "no route")
         organisation: Organisation | None = None
         if not route.is_open:
             organisation = rules.organisation_by_key.get(request.fields.key or "")
             if organisation is None:
-                return CallerAnswer(status=HTTPStatus.UNAUTHORIZED)
+                return self._turn_away(request, HTTPStatus.UNAUTHORIZED, "no valid key")
         return self._serve(request, route, organisation)
 
+    def _turn_away(
+        self,
+        request: CallerRequest,
+        status: HTTPStatus,
+        why: str,
+        wait: Millis | None = None,
+    ) -> CallerAnswer:
+        """Answer a request that belongs to no route."""
+        self._metrics.request_ended("", int(status), why, 0.0)
+        emit(
+            RequestEnded(
+                request=request.fields.request_id.decode("latin-1"),
+                status=int(status),
+                why=why,
+                route="",
+                service="",
+                organisation="",
+                upstream="",
+                attempts=0,
+                waited_ms=0,
+                total_ms=round(self._clock.now() - request.received),
+                config=self._facts.rules.version if self._facts.rules else 0,
+            )
+        )
+        headers = [] if wait is None else [retry_after(wait)]
+        return CallerAnswer(status=int(status), headers=headers)
+
     def _serve(
         self, request: CallerRequest, route: Route, organisation: Organisation | None
     ) -> CallerAnswer:
@@ -166,7 +204,11 @@
             service=self._splitter.choose(route),
             regions=_homes(route, organisation),
             deadline=request.received + allowed,
+            fingerprint=_fingerprint(request, organisation),
         )
+        banned = self._quarantine.refused_for(journey.fingerprint)
+        if banned > 0.0:
+            return self._give_up(journey, "quarantined", banned)
         if organisation is not None:
             wait = self._take_token(organisation.id)
             if wait is not None:
@@ -250,6 +292,7 @@
             _to_upstream(journey, upstream.record.id, left),
             left,
             journey.route.id,
+            journey.fingerprint,
         )
         self._waiting.offer_slots()
         journey.last = upstream.record.id
@@ -328,6 +371,16 @@
     return (route.home_regions & homes) or frozenset({""})
 
 
+def _fingerprint(request: CallerRequest, organisation: Organisation | None) -> str:
+    """Name a request so that its repeats by the caller have the same name."""
+    digest = xxhash.xxh3_64()
+    name = organisation.id if organisation is not None else ""
+    for part in (name.encode(), request.method, request.host.encode(), request.target):
+        digest.update(part + b"\0")
+    digest.update(request.body)
+    return digest.hexdigest()
+
+
 def _to_upstream(journey: _Journey, upstream: str, left: Millis) -> UpstreamRequest:
     request = journey.request
     organisation = journey.organisation
--- a/lagoonlatch/entry/peers.py
+++ b/lagoonlatch/entry/peers.py
@@ -13,11 +13,12 @@
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
 from lagoonlatch.entry.events import DatagramLost, DatagramUnreadable
-from lagoonlatch.entry.generated.ttypes import Ask, Datagram, Loan, Tell
+from lagoonlatch.entry.generated.ttypes import Ask, Datagram, Loan, Suspect, Tell
 from lagoonlatch.entry.journal import emit
 from lagoonlatch.steering.allowances import Allowances
 from lagoonlatch.steering.model import VmRecord
 from lagoonlatch.steering.peers import PeerTable, Telling
+from lagoonlatch.upstreams.quarantine import Quarantine, SuspectReport
 
 NEAR_INTERVAL: Millis = 100.0
 """Between tells to VMs of the region, with which the upstreams are shared; a part of
@@ -60,6 +61,7 @@
         in_flight_by_upstream: Callable[[], dict[str, int]],
         is_leaving: Callable[[], bool],
         allowances: Allowances,
+        quarantine: Quarantine,
         table: PeerTable,
         clock: Clock,
     ) -> None:
@@ -68,6 +70,7 @@
         self._in_flight_by_upstream = in_flight_by_upstream
         self._is_leaving = is_leaving
         self._allowances = allowances
+        self._quarantine = quarantine
         self._table = table
         self._clock = clock
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -174,6 +177,16 @@
             self._send(Datagram(loan=loan), address)
         elif datagram.loan is not None:
             self._finish_ask(datagram.loan.number, datagram.loan.tokens)
+        elif datagram.suspect is not None:
+            told = datagram.suspect
+            self._quarantine.report(told.fingerprint, told.deaths, told.duration)
+
+    def tell_suspect(self, report: SuspectReport) -> None:
+        """Tell the other VMs of a request that has ended an upstream."""
+        suspect = Suspect(report.fingerprint, report.deaths, report.duration)
+        data = serialize(Datagram(suspect=suspect), _PROTOCOL)
+        for peer, _ in self._list_peers():
+            self._send_bytes(data, _to_endpoint(peer.peer_address))
 
     def _tell_all(self, with_far: bool) -> None:
         tell = Tell(
--- a/lagoonlatch/entry/probes.py
+++ b/lagoonlatch/entry/probes.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
+from collections.abc import Callable
+
 import gevent
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
@@ -29,10 +32,25 @@
     def __init__(self, facts: Facts, clock: Clock) -> None:
         self._facts = facts
         self._clock = clock
+        self._on_dead_by_id: defaultdict[str, list[Callable[[], None]]] = defaultdict(
+            list
+        )
 
-    def suspect(self, upstream: UpstreamState, reason: str) -> None:
-        """Send `upstream` nothing until it answers a health check."""
-        if upstream.is_suspect or upstream.is_gone:
+    def suspect(
+        self,
+        upstream: UpstreamState,
+        reason: str,
+        on_dead: Callable[[], None] | None = None,
+    ) -> None:
+        """Send `upstream` nothing until it answers a health check.
+
+        `on_dead` is called once if the first check fails too.
+        """
+        if upstream.is_gone:
+            return
+        if on_dead is not None:
+            self._on_dead_by_id[upstream.record.id].append(on_dead)
+        if upstream.is_suspect:
             return
         upstream.is_suspect = True
         emit(UpstreamSuspected(upstream=upstream.record.id, why=reason))
@@ -43,7 +61,10 @@
         since = self._clock.now()
         while upstream.is_suspect and not upstream.is_gone:
             if self._probe(upstream, since):
+                self._on_dead_by_id.pop(upstream.record.id, None)
                 return
+            for call in self._on_dead_by_id.pop(upstream.record.id, ()):
+                call()
             gevent.sleep(pause / MILLIS_PER_SECOND)
             pause = min(pause * 2.0, LONGEST_PAUSE)
 
--- a/lagoonlatch/entry/process.py
+++ b/lagoonlatch/entry/process.py
@@ -53,6 +53,7 @@
 from lagoonlatch.steering.queueing import WaitingRoom
 from lagoonlatch.steering.repeats import RepeatBudget
 from lagoonlatch.steering.upstreams import Fleet
+from lagoonlatch.upstreams.quarantine import Quarantine
 
 BACKLOG = 1_024
 
@@ -60,6 +61,10 @@
 """A leaving VM takes requests for so long, from callers with an older look-up; after
 that it only ends those that it has taken."""
 
+DEATH_LIMIT = 3
+"""Upstreams that a request may end before it is refused; a common request may be
+running at two that end for another reason."""
+
 OUTPUT_PATIENCE: Millis = 200.0
 """How long the end of the process waits for the reader of its last lines."""
 
@@ -146,12 +151,14 @@
         self._registration = Registration(self._store, self._me, clock)
         self._cold_ramp = ColdRamp(settings.vm, lambda: self._facts.vms_by_id, clock)
         self._allowances = Allowances(self._count_vms, settings.is_first_start, clock)
+        quarantine = Quarantine(clock, death_limit=DEATH_LIMIT)
         self._peers = PeerLink(
             self._me,
             self._list_peers,
             self._fleet.in_flight_by_id,
             self._stop.is_set,
             self._allowances,
+            quarantine,
             self._peer_table,
             clock,
         )
@@ -166,6 +173,8 @@
             self._pool,
             Prober(self._facts, clock),
             admission,
+            quarantine,
+            self._peers.tell_suspect,
             self._metrics,
             clock,
         )
@@ -192,6 +201,7 @@
             self._waiting,
             self._count_neighbours,
             self._peers.borrow,
+            quarantine,
             self._metrics,
             clock,
         )
--- a/lagoonlatch/upstreams/quarantine.py
+++ b/lagoonlatch/upstreams/quarantine.py
@@ -56,16 +56,18 @@
         clock: Clock,
         duration: Millis = DEFAULT_QUARANTINE,
         capacity: int = DEFAULT_CAPACITY,
+        death_limit: int = DEATH_LIMIT,
     ) -> None:
         self._clock = clock
         self._duration = duration
         self._capacity = capacity
+        self._death_limit = death_limit
         self._suspicion_by_fingerprint: OrderedDict[str, _Suspicion] = OrderedDict()
 
     def count_death(self, fingerprint: str) -> SuspectReport:
         """Count one death and return the report for the other VMs."""
         deaths = self.deaths(fingerprint) + 1
-        duration = self._duration if deaths >= DEATH_LIMIT else DEFAULT_MEMORY
+        duration = self._duration if deaths >= self._death_limit else DEFAULT_MEMORY
         self._remember(fingerprint, _Suspicion(deaths, self._clock.now() + duration))
         return SuspectReport(fingerprint, deaths, duration)
 
@@ -94,7 +96,7 @@
     def refused_for(self, fingerprint: str) -> Millis:
         """Return how long a fingerprint is still refused; 0 if it is not."""
         known = self._find(fingerprint)
-        if known is None or known.deaths < DEATH_LIMIT:
+        if known is None or known.deaths < self._death_limit:
             return 0.0
         return known.until - self._clock.now()
 
--- a/tests/entry/test_handling.py
+++ b/tests/entry/test_handling.py
@@ -21,6 +21,7 @@
 from lagoonlatch.steering.placement import Placement
 from lagoonlatch.steering.queueing import WaitingRoom
 from lagoonlatch.steering.repeats import RepeatBudget
+from lagoonlatch.upstreams.quarantine import Quarantine
 from tests.steering.samples import (
     make_fleet,
     make_organisation,
@@ -55,8 +56,10 @@
         self._clock = clock
         self._outcomes = list(outcomes)
         self.sent = []
+        self.fingerprints = set()
 
-    def run(self, upstream, request, time_left, _route):
+    def run(self, upstream, request, time_left, _route, fingerprint):
+        self.fingerprints.add(fingerprint)
         self.sent.append((upstream.record.id, request, time_left))
         outcome = self._outcomes.pop(0)
         if outcome is SILENT:
@@ -85,6 +88,7 @@
         )
         self.allowances = Allowances(lambda: 1, True, self.clock)
         self.allowances.configure(self.facts.rules.organisations_by_id)
+        self.quarantine = Quarantine(self.clock, death_limit=3)
         placement = Placement(self.fleet, "north", ["north"], lambda _: True)
         self.handler = RequestHandler(
             self.facts,
@@ -96,6 +100,7 @@
             WaitingRoom(placement, self.clock),
             lambda: 1,
             lambda _: False,
+            self.quarantine,
             EntryMetrics("vm", "n-a"),
             self.clock,
         )
@@ -264,6 +269,20 @@
     assert repeats <= 0.2 * 100 + 60
 
 
+def test_a_request_that_ended_three_upstreams_is_refused_until_the_ban_ends():
+    world = World(*[RESET] * 4, Answered(make_answer()), kind=RouteKind.UNSAFE)
+    for _ in range(3):
+        world.ask()
+        (name,) = world.script.fingerprints
+        world.quarantine.count_death(name)
+    answer = world.ask()
+    assert answer.status == 503
+    assert len(world.used()) == 3
+    assert world.ask(b"/a/other").status == 502
+    world.clock.advance(float(dict(answer.headers)[b"Retry-After"]) * 1_000.0)
+    assert world.ask().status == 200
+
+
 def test_a_vm_about_to_end_refuses():
     world = World()
     world.handler.close()
