--- a/lagoonlatch/entry/process.py
+++ b/lagoonlatch/entry/process.py
@@ -93,7 +93,9 @@
         self._metrics_port = metrics_port
         self._metrics = EntryMetrics(settings.vm, settings.data_centre)
         self._clock = Clock()
-        self._store = KeyValueStore.from_address(settings.store_address)
+        self._store = KeyValueStore.from_address(
+            settings.store_address, self._metrics.store_called
+        )
         self._stop = Event()
         self._connections: set[CallerConnection] = set()
         self._me = VmRecord(
--- a/lagoonlatch/platform/kv.py
+++ b/lagoonlatch/platform/kv.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TypeVar
 from urllib.parse import urlencode
@@ -35,6 +37,21 @@
 
 M = TypeVar("M")
 
+Observer = Callable[[str, str, Millis], None]
+
+_NAME_BY_CALL = {
+    "kv-range": "read",
+    "kv-watch": "watch",
+    "kv-txn": "write",
+    "kv-lease": "grant",
+    "kv-keep": "renew",
+    "kv-lease-end": "revoke",
+}
+
+
+def _ignore(_call: str, _result: str, _elapsed: Millis) -> None:
+    pass
+
 
 @dataclass(frozen=True)
 class HistoryGone:
@@ -104,6 +121,30 @@
     lease: int
 
 
+class _Observed:
+    """Connections that tell of each call."""
+
+    def __init__(self, connections: Connections, observe: Observer) -> None:
+        self._connections = connections
+        self._observe = observe
+
+    def call(
+        self, method: str, path: str, body: bytes = b""
+    ) -> Result[Answer, CallFailed]:
+        started = time.monotonic()
+        outcome = self._connections.call(method, path, body)
+        name = path.strip("/").partition("?")[0].partition("/")[0]
+        result = (
+            str(outcome.unwrap().status) if isinstance(outcome, Success) else "lost"
+        )
+        elapsed = (time.monotonic() - started) * MILLIS_PER_SECOND
+        self._observe(_NAME_BY_CALL.get(name, name), result, elapsed)
+        return outcome
+
+    def close(self) -> None:
+        self._connections.close()
+
+
 class KeyValueStore:
     """The store at one address.
 
@@ -111,16 +152,19 @@
     ----------
     endpoint : Endpoint
         The store.
+    observe : callable
+        Is told each call's name, whether it was answered, and how long it took.
     """
 
-    def __init__(self, endpoint: Endpoint) -> None:
+    def __init__(self, endpoint: Endpoint, observe: Observer = _ignore) -> None:
         self._endpoint = endpoint
-        self._connections = Connections(endpoint, CALL_TIMEOUT)
+        self._observe = observe
+        self._connections = _Observed(Connections(endpoint, CALL_TIMEOUT), observe)
 
     @classmethod
-    def from_address(cls, address: str) -> KeyValueStore:
+    def from_address(cls, address: str, observe: Observer = _ignore) -> KeyValueStore:
         """Return the store at ``IP:port``."""
-        return cls(Endpoint.from_address(address))
+        return cls(Endpoint.from_address(address), observe)
 
     def read_prefix(self, prefix: str) -> Result[Snapshot, StoreError]:
         """Return all entries whose keys begin with `prefix`."""
@@ -144,7 +188,7 @@
 
     def open_watch(self, prefix: str, wait: Millis) -> Watch:
         """Return a watch of `prefix`, whose calls wait up to `wait`."""
-        return Watch(self._endpoint, prefix, wait)
+        return Watch(self._endpoint, prefix, wait, self._observe)
 
     def put(self, key: str, value: bytes, lease: int = 0) -> Result[int, StoreError]:
         """Write `value` and return its revision."""
@@ -202,10 +246,13 @@
 class Watch:
     """Waits for changes under a prefix, on a connection of its own."""
 
-    def __init__(self, endpoint: Endpoint, prefix: str, wait: Millis) -> None:
+    def __init__(
+        self, endpoint: Endpoint, prefix: str, wait: Millis, observe: Observer
+    ) -> None:
         self._prefix = prefix
         self._wait = wait
-        self._connections = Connections(endpoint, wait + WATCH_MARGIN, size=1)
+        connections = Connections(endpoint, wait + WATCH_MARGIN, size=1)
+        self._connections = _Observed(connections, observe)
 
     def wait_for_changes(
         self, revision: int
@@ -239,7 +286,7 @@
 
 
 def _get(
-    connections: Connections, path: str, query: dict[str, str]
+    connections: _Observed, path: str, query: dict[str, str]
 ) -> Result[Answer, CallFailed]:
     text = urlencode({name: value for name, value in query.items() if value}, safe="/")
     return connections.call("GET", f"{path}?{text}")
