--- a/lagoonlatch/cli.py
+++ b/lagoonlatch/cli.py
@@ -52,6 +52,7 @@
     "withdraw": "lagoonlatch.operators.changes:withdraw",
     "drain": "lagoonlatch.operators.commands:drain",
     "load": "lagoonlatch.load.command:load",
+    "explain": "lagoonlatch.operators.explain:explain",
     "version": "lagoonlatch.cli:version",
 }
 """Modules are loaded when their command is run, so that a daemon holds only its own."""
--- a/lagoonlatch/logs.py
+++ b/lagoonlatch/logs.py
@@ -19,6 +19,13 @@
     return event_dict
 
 
+def _with_fields(context: dict[str, str]):
+    def add(_logger, _method, event_dict):
+        return {**context, **event_dict}
+
+    return add
+
+
 def configure_logs(
     log_format: str,
     log_level: str = "info",
@@ -45,7 +52,8 @@
     )
     structlog.configure(
         processors=[
-            structlog.contextvars.merge_contextvars,
+            # Not by context variables: each greenlet has its own.
+            _with_fields(context),
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             _drop_secrets,
@@ -55,4 +63,3 @@
         logger_factory=structlog.PrintLoggerFactory(output or sys.stderr),
         cache_logger_on_first_use=True,
     )
-    structlog.contextvars.bind_contextvars(**context)
--- a/lagoonlatch/standins/entry_fleet.py
+++ b/lagoonlatch/standins/entry_fleet.py
@@ -11,6 +11,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
+from typing import IO
 
 import gevent
 import msgspec
@@ -52,12 +53,20 @@
         Entry VMs, over the data centres in turn.
     instances : int
         Upstream instances, over the data centres in turn.
+    output : int or file
+        Where the VMs write their log lines.
     """
 
-    def __init__(self, vms: int = 3, instances: int = 6) -> None:
+    def __init__(
+        self,
+        vms: int = 3,
+        instances: int = 6,
+        output: int | IO[bytes] = subprocess.DEVNULL,
+    ) -> None:
         self.store = KvStoreStandin()
         self.instances_by_id: dict[str, InstanceStandin] = {}
         self.vms_by_id: dict[str, EntryVm] = {}
+        self._output = output
         self._vm_count = vms
         self._instance_count = instances
         self._folder = tempfile.TemporaryDirectory(prefix="entry-fleet-")
@@ -119,7 +128,7 @@
         process = subprocess.Popen(
             [sys.executable, "-m", "lagoonlatch", "entry"],
             env={**os.environ, PATH_VARIABLE: str(path)},
-            stdout=subprocess.DEVNULL,
+            stdout=self._output,
         )
         self.vms_by_id[vm] = EntryVm(
             id=vm,
