--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,7 @@
 
 demo: setup
 	$(BIN)/python -m lagoonlatch.standins.demo
+	$(BIN)/python -m lagoonlatch.standins.entry_demo
 
 binary: setup
 	$(BIN)/python -m lagoonlatch.binary build/lagoonlatch
