Free a slot offered to a caller that has left; tell large fleets in turns

Cause 1: a slot offered to a waiting request counts as taken; if the caller left before its task ran on, the count was never taken back, and the upstream seemed fuller for good. Found in a read of the code; the test failed before. Change: the count is taken back however the wait ends; a round of telling reaches 8 VMs of the region and 8 of others, by turns. Fleets up to that size are as before.

--- a/lagoonlatch/entry/handling.py
+++ b/lagoonlatch/entry/handling.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
-import gevent
 import xxhash
 from gevent.event import AsyncResult
 
@@ -85,7 +84,7 @@
         )
 
 
-class _Seat:
+class Seat:
     """Waits for an upstream with a free slot."""
 
     def __init__(self) -> None:
@@ -98,11 +97,12 @@
 
     def await_offer(self, wait: Millis) -> UpstreamState | None:
         try:
-            upstream = self._offered.get(timeout=wait / MILLIS_PER_SECOND)
-        except gevent.Timeout:
-            return None
-        upstream.in_flight -= 1
-        return upstream
+            self._offered.wait(timeout=wait / MILLIS_PER_SECOND)
+        finally:
+            # Also when the caller has left meanwhile and this task is ended.
+            if self._offered.ready():
+                self._offered.value.in_flight -= 1
+        return self._offered.value
 
 
 class RequestHandler:
@@ -269,7 +269,7 @@
         slots = candidates.upstreams[0].record.slots / self._count_sharers()
         if self._admission.expected_wait(route, ahead, slots) > longest:
             return None
-        seat = _Seat()
+        seat = Seat()
         number = self._waiting.enter(urgency, candidates, seat)
         since = self._clock.now()
         try:
--- a/lagoonlatch/entry/peers.py
+++ b/lagoonlatch/entry/peers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 import gevent
 from gevent import socket
@@ -17,7 +17,7 @@
 from lagoonlatch.entry.journal import emit
 from lagoonlatch.steering.allowances import Allowances
 from lagoonlatch.steering.model import VmRecord
-from lagoonlatch.steering.peers import PeerTable, Telling
+from lagoonlatch.steering.peers import PeerTable, Telling, take_turn
 from lagoonlatch.upstreams.quarantine import Quarantine, SuspectReport
 
 NEAR_INTERVAL: Millis = 100.0
@@ -94,13 +94,17 @@
         """Tell the other VMs for ever."""
         turn = 0
         while True:
-            self._tell_all(with_far=turn % FAR_EVERY == 0)
+            near, far = self._split_peers()
+            self._tell_peers(take_turn(near, turn))
+            if turn % FAR_EVERY == 0:
+                self._tell_peers(take_turn(far, turn // FAR_EVERY))
             turn += 1
             gevent.sleep(NEAR_INTERVAL / MILLIS_PER_SECOND)
 
     def tell_leaving(self) -> None:
         """Tell all at once that this VM leaves."""
-        self._tell_all(with_far=True)
+        near, far = self._split_peers()
+        self._tell_peers(near + far)
 
     def receive(self) -> None:
         """Take datagrams for ever."""
@@ -188,7 +192,15 @@
         for peer, _ in self._list_peers():
             self._send_bytes(data, _to_endpoint(peer.peer_address))
 
-    def _tell_all(self, with_far: bool) -> None:
+    def _split_peers(self) -> tuple[list[VmRecord], list[VmRecord]]:
+        """Return the VMs of this region and the others, sorted by id."""
+        peers = sorted(self._list_peers(), key=lambda peer: peer[0].id)
+        near = [vm for vm, is_near in peers if is_near]
+        return near, [vm for vm, is_near in peers if not is_near]
+
+    def _tell_peers(self, peers: Sequence[VmRecord]) -> None:
+        if not peers:
+            return
         tell = Tell(
             vm=self._me.id,
             run=self._me.run,
@@ -197,11 +209,10 @@
             spare_by_organisation=self._allowances.spare_by_id(),
         )
         data = serialize(Datagram(tell=tell), _PROTOCOL)
-        for peer, is_near in self._list_peers():
+        for peer in peers:
             address = _to_endpoint(peer.peer_address)
             self._address_by_vm[peer.id] = address
-            if is_near or with_far:
-                self._send_bytes(data, address)
+            self._send_bytes(data, address)
 
     def _send(self, datagram: Datagram, address: tuple[str, int]) -> None:
         self._send_bytes(serialize(datagram, _PROTOCOL), address)
--- a/lagoonlatch/steering/peers.py
+++ b/lagoonlatch/steering/peers.py
@@ -5,8 +5,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
+from typing import TypeVar
 
 from lagoonlatch.clock import Clock, Millis
 
@@ -17,6 +18,21 @@
 """A VM that was heard and is silent for so long is taken to be gone or cut off."""
 
 
+MOST_TOLD = 8
+"""VMs of one kind that are told in one round; with more, rounds take turns, so that
+neither bytes nor processor time of a VM grow with the fleet."""
+
+N = TypeVar("N")
+
+
+def take_turn(listeners: Sequence[N], turn: int) -> list[N]:
+    """Return those whose turn it is; all come up before one comes up again."""
+    if len(listeners) <= MOST_TOLD:
+        return list(listeners)
+    start = turn * MOST_TOLD % len(listeners)
+    return [listeners[(start + offset) % len(listeners)] for offset in range(MOST_TOLD)]
+
+
 @dataclass(frozen=True, kw_only=True)
 class Telling:
     """What one VM tells of itself.
--- a/tests/entry/test_handling.py
+++ b/tests/entry/test_handling.py
@@ -1,9 +1,10 @@
 """The way of one request with scripted outcomes at the upstreams."""
 
+import gevent
 import pytest
 
 from lagoonlatch.entry.facts import Facts
-from lagoonlatch.entry.handling import RequestHandler
+from lagoonlatch.entry.handling import RequestHandler, Seat
 from lagoonlatch.entry.messages import (
     Answered,
     CallerRequest,
@@ -283,6 +284,20 @@
     assert world.ask().status == 200
 
 
+def test_a_slot_offered_to_a_caller_that_has_left_is_free_again():
+    world = World()
+    upstream = world.fleet.find("u1")
+    for wait, ends in [(5_000.0, True), (0.0, False)]:
+        seat = Seat()
+        task = gevent.spawn(seat.await_offer, wait)
+        gevent.sleep(0)
+        seat.offer(upstream)
+        if ends:
+            task.kill()
+        gevent.sleep(0.01)
+        assert upstream.in_flight == 0
+
+
 def test_a_vm_about_to_end_refuses():
     world = World()
     world.handler.close()
--- a/tests/steering/test_peers.py
+++ b/tests/steering/test_peers.py
@@ -1,5 +1,5 @@
 from lagoonlatch.standins.manual_clock import ManualClock
-from lagoonlatch.steering.peers import PeerTable, Telling
+from lagoonlatch.steering.peers import MOST_TOLD, PeerTable, Telling, take_turn
 
 
 def tell(vm, run=1, leaving=False, in_flight=None, spare=None):
@@ -58,3 +58,11 @@
     table.hear(tell("vm1", run=6))
     table.hear(tell("vm1", run=5, leaving=True))
     assert not table.is_leaving("vm1", 5)
+
+
+def test_in_a_large_fleet_all_are_told_in_turn():
+    vms = list(range(77))
+    rounds = [take_turn(vms, turn) for turn in range(10)]
+    assert all(len(told) == MOST_TOLD for told in rounds)
+    assert {vm for told in rounds for vm in told} == set(vms)
+    assert take_turn([1, 2, 3], 5) == [1, 2, 3]
