Split addresses and encode requests in one place

Found in a last read: IP:port was split in six places beside Endpoint.from_address, and each exchange with an upstream built and serialized its request twice, once to send it and once for the parser of its answer.

--- a/lagoonlatch/entry/doors.py
+++ b/lagoonlatch/entry/doors.py
@@ -15,6 +15,7 @@
     encode_lookup_answer,
     read_lookup_query,
 )
+from lagoonlatch.platform.endpoint import Endpoint
 from lagoonlatch.steering.lookup import Lookup
 
 Responder = Callable[[dict[str, Any]], tuple[str, str, bytes]]
@@ -70,7 +71,8 @@
         start_response(status, headers)
         return [body]
 
-    host, _, port = address.rpartition(":")
-    server = WSGIServer((host, int(port)), application, log=None, error_log=None)
+    server = WSGIServer(
+        Endpoint.from_address(address).pair, application, log=None, error_log=None
+    )
     server.start()
     return server
--- a/lagoonlatch/entry/exchange.py
+++ b/lagoonlatch/entry/exchange.py
@@ -18,6 +18,7 @@
     UpstreamAnswer,
     UpstreamRequest,
 )
+from lagoonlatch.platform.endpoint import Endpoint
 from lagoonlatch.platform.headers import is_stamp, read_answer_fields
 from lagoonlatch.sockets import detect_silence
 
@@ -61,9 +62,10 @@
         OSError
             If there is no connection within `timeout`.
         """
-        host, _, port = address.rpartition(":")
         seconds = max(min(timeout, CONNECT_TIMEOUT), 1.0) / MILLIS_PER_SECOND
-        sock = socket.create_connection((host, int(port)), timeout=seconds)
+        sock = socket.create_connection(
+            Endpoint.from_address(address).pair, timeout=seconds
+        )
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         detect_silence(sock, UNACKNOWLEDGED_TIMEOUT)
         return cls(sock, clock)
@@ -101,12 +103,13 @@
                 self.close()
 
     def _exchange(self, request: UpstreamRequest, deadline: Millis) -> Outcome:
-        sender = _Sender(self._sock, request)
+        data, parser = _begin(request)
+        sender = _Sender(self._sock, data)
         try:
             self._sock.settimeout(self._seconds_until(deadline))
             if not sender.send():
                 self.is_reusable = False
-            return self._judge(self._receive(request, deadline))
+            return self._judge(self._receive(request, parser, deadline))
         except TimeoutError as error:
             self.is_reusable = False
             if error.errno == errno.ETIMEDOUT:
@@ -128,13 +131,11 @@
     def _seconds_until(self, deadline: Millis) -> float:
         return max(deadline - self._clock.now(), 1.0) / MILLIS_PER_SECOND
 
-    def _receive(self, request: UpstreamRequest, deadline: Millis) -> UpstreamAnswer:
+    def _receive(
+        self, request: UpstreamRequest, parser: h11.Connection, deadline: Millis
+    ) -> UpstreamAnswer:
         """Return the answer that names the request; others are skipped."""
-        received = b""
         while True:
-            parser = _parser_awaiting_answer(request)
-            if received:
-                parser.receive_data(received)
             answer = _Assembler()
             for event in self._events(parser, deadline):
                 answer.add(event)
@@ -145,6 +146,9 @@
                 return whole
             if parser.their_state is not h11.DONE:
                 raise _ClosedError("closed after an answer to another request")
+            _, parser = _begin(request)
+            if received:
+                parser.receive_data(received)
 
     def _events(self, parser: h11.Connection, deadline: Millis) -> Iterator[h11.Event]:
         while True:
@@ -190,14 +194,14 @@
 class _Sender:
     """Sends one request and knows whether any byte of it was handed over."""
 
-    def __init__(self, sock: socket.socket, request: UpstreamRequest) -> None:
+    def __init__(self, sock: socket.socket, data: bytes) -> None:
         self._sock = sock
-        self._request = request
+        self._data = data
         self.has_sent = False
 
     def send(self) -> bool:
         """Send all; return False if the upstream answered before the end."""
-        view = memoryview(_encode(self._request))
+        view = memoryview(self._data)
         while view:
             if self.has_sent and _has_arrived(self._sock):
                 return False
@@ -262,20 +266,11 @@
     return h11.Request(method=request.method, target=request.target, headers=headers)
 
 
-def _encode(request: UpstreamRequest) -> bytes:
-    encoder = h11.Connection(h11.CLIENT)
-    parts = [encoder.send(_head(request))]
-    if request.body:
-        parts.append(encoder.send(h11.Data(data=request.body)))
-    parts.append(encoder.send(h11.EndOfMessage()))
-    return b"".join(part for part in parts if part)
-
-
-def _parser_awaiting_answer(request: UpstreamRequest) -> h11.Connection:
-    """Return a parser that expects the answer to `request`, which is being sent."""
+def _begin(request: UpstreamRequest) -> tuple[bytes, h11.Connection]:
+    """Return the bytes of `request` and a parser that expects its answer."""
     parser = h11.Connection(h11.CLIENT)
-    parser.send(_head(request))
+    parts = [parser.send(_head(request))]
     if request.body:
-        parser.send(h11.Data(data=request.body))
-    parser.send(h11.EndOfMessage())
-    return parser
+        parts.append(parser.send(h11.Data(data=request.body)))
+    parts.append(parser.send(h11.EndOfMessage()))
+    return b"".join(part for part in parts if part), parser
--- a/lagoonlatch/entry/news.py
+++ b/lagoonlatch/entry/news.py
@@ -23,6 +23,7 @@
 from lagoonlatch.entry.generated.ttypes import Item, Reading
 from lagoonlatch.entry.journal import emit
 from lagoonlatch.entry.sync import StoreSync
+from lagoonlatch.platform.endpoint import Endpoint
 from lagoonlatch.platform.store import Entry
 from lagoonlatch.vms.connection import framed_transport, tune_socket
 
@@ -45,8 +46,8 @@
 
     def serve(self, address: str) -> StreamServer:
         """Start listening at ``IP:port``."""
-        host, _, port = address.rpartition(":")
-        server = StreamServer((host, int(port)), self._serve_connection)
+        endpoint = Endpoint.from_address(address)
+        server = StreamServer(endpoint.pair, self._serve_connection)
         server.start()
         return server
 
@@ -119,10 +120,9 @@
 
 
 def _call(address: str, revision: int) -> Result[Reading, str]:
-    host, _, port = address.rpartition(":")
     try:
         with gevent.Timeout(CALL_TIMEOUT / MILLIS_PER_SECOND, TimeoutError):
-            sock = socket.create_connection((host, int(port)))
+            sock = socket.create_connection(Endpoint.from_address(address).pair)
             try:
                 tune_socket(sock)
                 protocol = TBinaryProtocolAccelerated(framed_transport(sock))
--- a/lagoonlatch/entry/peers.py
+++ b/lagoonlatch/entry/peers.py
@@ -15,6 +15,7 @@
 from lagoonlatch.entry.events import DatagramLost, DatagramUnreadable
 from lagoonlatch.entry.generated.ttypes import Ask, Datagram, Loan, Suspect, Tell
 from lagoonlatch.entry.journal import emit
+from lagoonlatch.platform.endpoint import Endpoint
 from lagoonlatch.steering.allowances import Allowances
 from lagoonlatch.steering.model import VmRecord
 from lagoonlatch.steering.peers import PeerTable, Telling, take_turn
@@ -80,7 +81,7 @@
 
     def listen(self) -> None:
         """Take the VM's port."""
-        self._sock.bind(_to_endpoint(self._me.peer_address))
+        self._sock.bind(Endpoint.from_address(self._me.peer_address).pair)
 
     def addresses(self) -> list[str]:
         """Return where VMs listen that are heard, known from the store or not."""
@@ -190,7 +191,7 @@
         suspect = Suspect(report.fingerprint, report.deaths, report.duration)
         data = serialize(Datagram(suspect=suspect), _PROTOCOL)
         for peer, _ in self._list_peers():
-            self._send_bytes(data, _to_endpoint(peer.peer_address))
+            self._send_bytes(data, Endpoint.from_address(peer.peer_address).pair)
 
     def _split_peers(self) -> tuple[list[VmRecord], list[VmRecord]]:
         """Return the VMs of this region and the others, sorted by id."""
@@ -210,7 +211,7 @@
         )
         data = serialize(Datagram(tell=tell), _PROTOCOL)
         for peer in peers:
-            address = _to_endpoint(peer.peer_address)
+            address = Endpoint.from_address(peer.peer_address).pair
             self._address_by_vm[peer.id] = address
             self._send_bytes(data, address)
 
@@ -224,11 +225,6 @@
             emit(DatagramLost(peer=address[0], why=str(error)))
 
 
-def _to_endpoint(address: str) -> tuple[str, int]:
-    host, _, port = address.rpartition(":")
-    return host, int(port)
-
-
 def _to_telling(tell: Tell) -> Telling:
     return Telling(
         vm=tell.vm,
--- a/lagoonlatch/entry/process.py
+++ b/lagoonlatch/entry/process.py
@@ -41,6 +41,7 @@
 from lagoonlatch.entry.sync import StoreSync
 from lagoonlatch.exit_codes import ExitCode
 from lagoonlatch.logs import configure_logs
+from lagoonlatch.platform.endpoint import Endpoint
 from lagoonlatch.platform.kv import KeyValueStore
 from lagoonlatch.platform.settings_file import VmSettings
 from lagoonlatch.steering.admission import Admission
@@ -237,18 +238,15 @@
         self._allowances.configure(rules.organisations_by_id)
 
     def _listen(self) -> None:
-        host, _, port = self._settings.caller_address.rpartition(":")
-        self._server = StreamServer(
-            (host, int(port)), self._serve_caller, backlog=BACKLOG
-        )
+        callers = Endpoint.from_address(self._settings.caller_address)
+        self._server = StreamServer(callers.pair, self._serve_caller, backlog=BACKLOG)
         self._server.start()
         self._lookups = serve_lookups(self._settings.directory_address, self._lookup)
         self._readiness = serve_readiness(
             self._settings.readiness_address, self._is_ready
         )
         if self._metrics_port:
-            host, _, _ = self._settings.caller_address.rpartition(":")
-            serve_metrics(f"{host}:{self._metrics_port}", self._metrics)
+            serve_metrics(f"{callers.host}:{self._metrics_port}", self._metrics)
 
     def _serve_caller(self, sock: socket.socket, _address: tuple) -> None:
         connection = CallerConnection(
--- a/lagoonlatch/platform/endpoint.py
+++ b/lagoonlatch/platform/endpoint.py
@@ -23,6 +23,11 @@
     port: int
     source: str = ""
 
+    @property
+    def pair(self) -> tuple[str, int]:
+        """Host and port, as sockets take them."""
+        return self.host, self.port
+
     @classmethod
     def from_address(cls, address: str, source: str = "") -> Endpoint:
         """Return the endpoint at ``IP:port``.
