Ask the VMs known from the store for news, not only those heard

Cause: a VM refused between its roster entry and its own entry is unknown to the others and told nothing, so the list of those it could ask was empty. Ruled out: the readings themselves (they come at once when asked for).

--- a/lagoonlatch/entry/peers.py
+++ b/lagoonlatch/entry/peers.py
@@ -84,12 +84,14 @@
         self._sock.bind(Endpoint.from_address(self._me.peer_address).pair)
 
     def addresses(self) -> list[str]:
-        """Return where VMs listen that are heard, known from the store or not."""
-        return [
+        """Return where other VMs listen: those known from the store or heard."""
+        known = [vm.peer_address for vm, _ in self._list_peers()]
+        heard = [
             f"{host}:{port}"
             for vm, (host, port) in self._address_by_vm.items()
             if self._table.is_heard(vm)
         ]
+        return list(dict.fromkeys(known + heard))
 
     def tell(self) -> None:
         """Tell the other VMs for ever."""
--- a/lagoonlatch/standins/entry_fleet.py
+++ b/lagoonlatch/standins/entry_fleet.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
 import os
+import random
 import signal
 import subprocess
 import sys
@@ -30,6 +32,13 @@
 START_TIMEOUT: Millis = 20_000.0
 POLL: Millis = 50.0
 
+PORT_BLOCKS = range(10_000, 32_000, 200)
+"""First ports of the blocks, below the usual ports of outgoing connections; a block
+has room for 49 VMs."""
+
+PORTS_BY_VM = 4
+"""Callers, readiness, directory, peers."""
+
 
 @dataclass(frozen=True, kw_only=True)
 class EntryVm:
@@ -41,6 +50,7 @@
     caller_port: int
     readiness_port: int
     directory_port: int
+    peer_port: int
     settings_path: Path
 
 
@@ -71,6 +81,7 @@
         self._instance_count = instances
         self._folder = tempfile.TemporaryDirectory(prefix="entry-fleet-")
         self._version = 0
+        self._ports = PortBlock()
 
     def __enter__(self) -> EntryFleet:
         """Start everything and wait until all VMs are ready."""
@@ -93,6 +104,7 @@
         for instance in self.instances_by_id.values():
             instance.stop()
         self._server.stop(timeout=1.0)
+        self._ports.release()
         self._folder.cleanup()
 
     def add_instance(self, instance_id: str, data_centre: str) -> InstanceStandin:
@@ -119,9 +131,14 @@
         """Start a VM, again if it has run before."""
         known = self.vms_by_id.get(vm)
         ports = (
-            (known.caller_port, known.readiness_port, known.directory_port)
+            (
+                known.caller_port,
+                known.readiness_port,
+                known.directory_port,
+                known.peer_port,
+            )
             if known
-            else free_ports(3)
+            else self._ports.take(PORTS_BY_VM)
         )
         path = Path(self._folder.name) / f"{vm}.toml"
         path.write_text(self._settings(vm, data_centre, ports, first))
@@ -137,6 +154,7 @@
             caller_port=ports[0],
             readiness_port=ports[1],
             directory_port=ports[2],
+            peer_port=ports[3],
             settings_path=path,
         )
         return self.vms_by_id[vm]
@@ -168,13 +186,12 @@
     def _settings(
         self, vm: str, data_centre: str, ports: tuple[int, ...], first: bool
     ) -> str:
-        (peer_port,) = free_ports(1)
         zones = "\n".join(f'{z} = "{r}"' for z, r in REGION_BY_DATA_CENTRE.items())
         return f"""
 node = "{vm}"
 ip = "127.0.0.1"
 zone = "{data_centre}"
-port_range = [{peer_port}, {peer_port}]
+port_range = [{ports[3]}, {ports[3]}]
 bootstrap = {"true" if first else "false"}
 bounds = ["contact_s=2", "grace_s=6", "retry_ratio=0.2", "retry_slack=60"]
 [zones]
@@ -188,15 +205,34 @@
 """
 
 
-def free_ports(count: int) -> tuple[int, ...]:
-    """Return ports that were free a moment ago."""
-    socks = [socket.socket() for _ in range(count)]
-    for sock in socks:
-        sock.bind(("127.0.0.1", 0))
-    ports = tuple(sock.getsockname()[1] for sock in socks)
-    for sock in socks:
-        sock.close()
-    return ports
+class PortBlock:
+    """Ports that no other fleet on this machine hands out.
+
+    They lie below those that the system gives to outgoing connections: a port that
+    was merely free a moment ago may be taken before its VM listens there. Holding the
+    block's first port keeps the block.
+    """
+
+    def __init__(self) -> None:
+        for first in random.sample(PORT_BLOCKS, len(PORT_BLOCKS)):
+            guard = socket.socket()
+            try:
+                guard.bind(("127.0.0.1", first))
+            except OSError:
+                guard.close()
+                continue
+            self._guard = guard
+            self._ports = iter(range(first + 1, first + PORT_BLOCKS.step))
+            return
+        raise OSError("no free block of ports")
+
+    def take(self, count: int) -> tuple[int, ...]:
+        """Return ports that were not handed out before."""
+        return tuple(itertools.islice(self._ports, count))
+
+    def release(self) -> None:
+        """Let others have the block."""
+        self._guard.close()
 
 
 def exchange(port: int, data: bytes, timeout: Millis = 5_000.0) -> bytes:
--- a/tests/entry/test_process.py
+++ b/tests/entry/test_process.py
@@ -177,29 +177,47 @@
 
 def test_a_store_that_turns_one_vm_away_leaves_it_the_others_news(fleet):
     vm = fleet.vms_by_id["vm-0"]
+    refused = _refuse(fleet, vm, lambda path: True)
+    # A watch that waits already would still bring the change.
+    assert eventually(lambda: "/kv-watch" in refused)
+    fleet.configure(keys=("another",))
+    assert eventually(lambda: ask(vm, "x") == 401, 6.0)
+
+
+def test_a_vm_refused_before_its_own_entry_asks_the_others(fleet):
+    vm = fleet.start_vm("vm-3", "n-a")
+    refused = _refuse(fleet, vm, lambda path: path == "/kv-lease" or is_ready(vm))
+    fleet.await_ready()
+    assert eventually(lambda: "/kv-watch" in refused)
+    fleet.configure(keys=("another",))
+    assert eventually(lambda: ask(vm, "x") == 401, 6.0)
+
+
+def _refuse(fleet, vm, is_refused):
+    """Let the store refuse the calls of one VM; return the paths refused so far."""
     respond = fleet.store._respond
     refused = []
 
     def respond_to_others(environ, start):
-        port = environ["REMOTE_PORT"]
-        if port in refused or _owner(port) == vm.process.pid:
-            refused.append(port)
+        path = environ["PATH_INFO"]
+        owner = _owner(int(environ["REMOTE_PORT"]))
+        if owner == vm.process.pid and is_refused(path):
+            refused.append(path)
             start("503 Busy", [("Content-Length", "2")])
             return [b"{}"]
         return respond(environ, start)
 
     fleet._server.application = respond_to_others
-    gevent.sleep(0.5)
-    fleet.configure(keys=("another",))
-    assert eventually(lambda: ask(vm, "x") == 401, 6.0)
-    assert refused
+    return refused
 
 
 def _owner(port):
     """Return the process at the other end of a loopback connection."""
     import psutil
 
-    for connection in psutil.net_connections("tcp"):
-        if connection.laddr and connection.laddr.port == int(port):
-            return connection.pid
-    return None
+    owners = (
+        connection.pid
+        for connection in psutil.net_connections("tcp")
+        if connection.pid and connection.laddr.port == port
+    )
+    return next(owners, None)
