Let two VMs of a region follow the store and pass on what they read

Ruled out: polls with stale answers (they may be seconds old), longer waits alone (a store that drops its history leaves a waiting watch without the changes of that time).

Now two VMs of each region watch, in turns spread over the regions so that a call still comes round within the settling time; what they read they pass on as a datagram, and tells name the revision, so that a VM which missed it asks. Entries that lapsed are held also by VMs that are told so. A VM registers with one write, and reads after that when all start for the first time.

--- a/lagoonlatch/entry/events.py
+++ b/lagoonlatch/entry/events.py
@@ -212,6 +212,14 @@
     revision: int
 
 
+@log_event()
+class StandingChanged(LogEvent):
+    """A change between watching the store and listening to VMs that do."""
+
+    standing: str
+    revision: int
+
+
 @log_event()
 class NewsTaken(LogEvent):
     """Another VM's reading of the store has replaced this VM's."""
--- a/lagoonlatch/entry/facts.py
+++ b/lagoonlatch/entry/facts.py
@@ -83,9 +83,13 @@
         """Return all that was read, as the store holds it."""
         return list(self._entry_by_key.values())
 
-    def note_outage_end(self) -> None:
+    def hold_lapsed(self, duration: Millis = LAPSE_GRACE) -> None:
         """Hold missing upstreams for a while, since entries lapse in an outage."""
-        self._lapsed_until = self._clock.now() + LAPSE_GRACE
+        self._lapsed_until = max(self._lapsed_until, self._clock.now() + duration)
+
+    def lapse_left(self) -> Millis:
+        """Return for how long missing upstreams are held yet."""
+        return max(self._lapsed_until - self._clock.now(), 0.0)
 
     def take_snapshot(self, entries: Sequence[Entry]) -> None:
         """Replace all facts by `entries`."""
@@ -100,7 +104,10 @@
         """Apply changes in their order."""
         for change in changes:
             if change.value is None:
-                self._remove(change.key)
+                known = self._entry_by_key.get(change.key)
+                # What is known may be newer than a change that came another way.
+                if known is None or known.revision < change.revision:
+                    self._remove(change.key)
             else:
                 self._write(Entry(change.key, change.value, change.revision))
 
--- a/lagoonlatch/entry/news.py
+++ b/lagoonlatch/entry/news.py
@@ -1,7 +1,7 @@
-"""News of the store from VM to VM, for those that the store turns away.
+"""News of the store from VM to VM.
 
-A VM that can't follow the store asks one that can for all that it has read. What it
-gets is as good as a reading of its own, only later.
+A VM that listens, or that the store turns away, asks one that knows more. What it gets
+is as good as a reading of its own, only later.
 """
 
 from __future__ import annotations
@@ -20,10 +20,12 @@
 from lagoonlatch.entry.events import NewsFailed, NewsTaken
 from lagoonlatch.entry.facts import Facts
 from lagoonlatch.entry.generated import News
-from lagoonlatch.entry.generated.ttypes import Item, Reading
+from lagoonlatch.entry.generated import ttypes as wire
 from lagoonlatch.entry.journal import emit
+from lagoonlatch.entry.reading import Batch, StoreReading
 from lagoonlatch.entry.sync import StoreSync
 from lagoonlatch.platform.endpoint import Endpoint
+from lagoonlatch.platform.kv import Change
 from lagoonlatch.platform.store import Entry
 from lagoonlatch.vms.connection import framed_transport, tune_socket
 
@@ -31,18 +33,24 @@
 """A store that fails for so long is not waited for."""
 
 ASK_INTERVAL: Millis = 500.0
-"""Between questions; a change must count within a few seconds."""
+"""Between questions while the store fails; a change must count within a few seconds."""
+
+BEHIND: Millis = 300.0
+"""Others may know more for so long; what they pass on may be on its way."""
+
+LOOK_INTERVAL: Millis = 100.0
+"""How often a VM looks whether others know more."""
 
 CALL_TIMEOUT: Millis = 800.0
 """Longest call: some round trips between regions, and the items' transfer."""
 
 
 class NewsServer:
-    """Answers VMs that the store turns away."""
+    """Answers VMs that know less than this one."""
 
-    def __init__(self, facts: Facts, sync: StoreSync) -> None:
+    def __init__(self, reading: StoreReading, facts: Facts) -> None:
+        self._reading = reading
         self._facts = facts
-        self._sync = sync
 
     def serve(self, address: str) -> StreamServer:
         """Start listening at ``IP:port``."""
@@ -51,15 +59,20 @@
         server.start()
         return server
 
-    def read_since(self, revision: int) -> Reading:
-        """Return all items if they are newer than `revision`."""
-        if self._sync.is_failing or self._sync.revision <= revision:
-            return Reading(0, [])
+    def read_since(self, revision: int) -> wire.Reading:
+        """Return what is newer than `revision`; changes if all are known, else all."""
+        known = self._reading.revision
+        if known <= revision:
+            return wire.Reading(revision=0, items=[])
+        batch = self._reading.batch_since(revision)
+        if batch is not None:
+            return wire.Reading(revision=known, items=[], batch=encode_batch(batch))
         items = [
-            Item(entry.key, entry.value, entry.revision)
-            for entry in self._facts.entries()
+            wire.Item(entry.key, entry.value, entry.revision)
+            for entry in self._reading.entries()
         ]
-        return Reading(self._sync.revision, items)
+        lapse_left = round(self._facts.lapse_left())
+        return wire.Reading(revision=known, items=items, lapse_left=lapse_left)
 
     def _serve_connection(self, sock: socket.socket, _address: tuple) -> None:
         tune_socket(sock)
@@ -75,51 +88,100 @@
 
 
 class NewsReader:
-    """Asks other VMs while this one can't follow the store.
+    """Asks other VMs when they know more, or while this one can't ask the store.
 
     Parameters
     ----------
     list_addresses : callable
         Returns where other VMs listen, ``IP:port``.
+    list_ahead : callable
+        Returns where VMs listen that have told of later changes than `revision`.
     """
 
     def __init__(
         self,
+        reading: StoreReading,
         facts: Facts,
         sync: StoreSync,
         list_addresses: Callable[[], Sequence[str]],
+        list_ahead: Callable[[int], Sequence[str]],
         clock: Clock,
     ) -> None:
+        self._reading = reading
         self._facts = facts
         self._sync = sync
         self._list_addresses = list_addresses
+        self._list_ahead = list_ahead
         self._clock = clock
+        self._behind_since: Millis | None = None
+        self._asked: Millis = 0.0
 
     def run(self) -> None:
-        """Ask for ever, whenever the store fails."""
+        """Ask for ever, whenever others know more or the store fails."""
         while True:
-            gevent.sleep(ASK_INTERVAL / MILLIS_PER_SECOND)
-            if self._sync.failing_for() >= ASK_AFTER:
-                self._ask_someone()
-
-    def _ask_someone(self) -> None:
-        addresses = self._list_addresses()
-        if not addresses:
+            gevent.sleep(LOOK_INTERVAL / MILLIS_PER_SECOND)
+            if not self._reading.revision and not self._sync.is_failing:
+                # The first reading is this VM's own.
+                continue
+            self._look()
+
+    def _look(self) -> None:
+        now = self._clock.now()
+        ahead = self._list_ahead(self._reading.revision)
+        if not ahead or self._sync.is_gathering:
+            self._behind_since = None
+        elif self._behind_since is None:
+            self._behind_since = now
+        elif now - self._behind_since >= BEHIND:
+            self._behind_since = None
+            self._ask(random.choice(ahead))
             return
-        peer = random.choice(addresses)
-        result = _call(peer, self._sync.revision)
+        is_due = now - self._asked >= ASK_INTERVAL
+        if not ahead and is_due and self._sync.failing_for() >= ASK_AFTER:
+            self._asked = now
+            addresses = self._list_addresses()
+            if addresses:
+                self._ask(random.choice(addresses))
+
+    def _ask(self, peer: str) -> None:
+        result = _call(peer, self._reading.revision)
         if isinstance(result, Failure):
             emit(NewsFailed(peer=peer, why=result.failure()))
             return
-        reading = result.unwrap()
-        if reading.revision > self._sync.revision and self._sync.is_failing:
-            entries = [Entry(i.key, i.value, i.revision) for i in reading.items]
-            self._facts.take_snapshot(entries)
-            self._sync.note_reading(reading.revision)
-            emit(NewsTaken(peer=peer, revision=reading.revision))
-
-
-def _call(address: str, revision: int) -> Result[Reading, str]:
+        found = result.unwrap()
+        if found.revision <= self._reading.revision:
+            return
+        if found.batch is not None:
+            self._reading.take_batch(decode_batch(found.batch))
+        else:
+            if found.lapse_left:
+                self._facts.hold_lapsed(float(found.lapse_left))
+            entries = [Entry(i.key, i.value, i.revision) for i in found.items]
+            self._reading.take_snapshot(entries, found.revision)
+        emit(NewsTaken(peer=peer, revision=found.revision))
+
+
+def encode_batch(batch: Batch) -> wire.Batch:
+    """Encode changes for another VM."""
+    return wire.Batch(
+        since=batch.since,
+        until=batch.until,
+        changes=[wire.Change(c.key, c.value, c.revision) for c in batch.changes],
+        lapse_left=round(batch.lapse_left),
+    )
+
+
+def decode_batch(batch: wire.Batch) -> Batch:
+    """Decode changes that another VM passes on."""
+    return Batch(
+        since=batch.since,
+        until=batch.until,
+        changes=tuple(Change(c.key, c.value, c.revision) for c in batch.changes),
+        lapse_left=float(batch.lapse_left),
+    )
+
+
+def _call(address: str, revision: int) -> Result[wire.Reading, str]:
     try:
         with gevent.Timeout(CALL_TIMEOUT / MILLIS_PER_SECOND, TimeoutError):
             sock = socket.create_connection(Endpoint.from_address(address).pair)
--- a/lagoonlatch/entry/peer.thrift
+++ b/lagoonlatch/entry/peer.thrift
@@ -1,5 +1,12 @@
-// The protocol between entry VMs. Tell, Ask and Loan are single datagrams; a lost one
-// costs freshness or tokens, never more. News is a call over TCP.
+// The protocol between entry VMs. A Datagram that is lost costs freshness or tokens,
+// never more. News is a call over TCP.
+
+// How a VM learns what the store holds.
+enum Standing {
+  LISTENS = 0,
+  WATCHES = 1,
+  REFUSED = 2,
+}
 
 // What a VM tells its peers several times a second.
 struct Tell {
@@ -8,8 +15,29 @@
   3: bool leaving,
   // Requests that this VM has at each upstream; those with none are left out.
   4: map<string, i16> in_flight_by_upstream,
-  // Whole tokens that it could lend, by organisation; those with none are left out.
+  // Whole tokens that it could lend, for some of the organisations in turn.
   5: map<string, i32> spare_by_organisation,
+  // Of the store, up to which it knows all changes.
+  6: i64 revision,
+  7: Standing standing,
+  // Milliseconds until it tells the receiver again.
+  8: i32 interval,
+}
+
+struct Change {
+  1: string key,
+  // Not set: the key was removed.
+  2: optional binary value,
+  3: i64 revision,
+}
+
+// All changes of the store after revision `since` up to `until`.
+struct Batch {
+  1: i64 since,
+  2: i64 until,
+  3: list<Change> changes,
+  // Milliseconds for which upstreams whose entries are gone may come back.
+  4: i32 lapse_left,
 }
 
 // Asks for tokens of an organisation's allowance.
@@ -41,6 +69,7 @@
   2: optional Ask ask,
   3: optional Loan loan,
   4: optional Suspect suspect,
+  5: optional Batch batch,
 }
 
 struct Item {
@@ -53,9 +82,13 @@
   // Of the store, up to which the items are complete; 0: nothing newer than asked for.
   1: i64 revision,
   2: list<Item> items,
+  // Set in place of the items if it holds all that the asker misses.
+  3: optional Batch batch,
+  // As in Batch, for the items.
+  4: i32 lapse_left,
 }
 
 service News {
-  // All items, if the answering VM follows the store and is past `revision`.
+  // The changes after `revision`, or all items if they are not known.
   Reading read_since(1: i64 revision),
 }
--- a/lagoonlatch/entry/peers.py
+++ b/lagoonlatch/entry/peers.py
@@ -8,17 +8,20 @@
 import gevent
 from gevent import socket
 from gevent.event import AsyncResult
-from thrift.protocol.TBinaryProtocol import TBinaryProtocolAcceleratedFactory
+from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
 from thrift.TSerialization import deserialize, serialize
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
 from lagoonlatch.entry.events import DatagramLost, DatagramUnreadable
 from lagoonlatch.entry.generated.ttypes import Ask, Datagram, Loan, Suspect, Tell
 from lagoonlatch.entry.journal import emit
+from lagoonlatch.entry.news import decode_batch, encode_batch
+from lagoonlatch.entry.reading import Batch, StoreReading
 from lagoonlatch.platform.endpoint import Endpoint
 from lagoonlatch.steering.allowances import Allowances
 from lagoonlatch.steering.model import VmRecord
-from lagoonlatch.steering.peers import PeerTable, Telling, take_turn
+from lagoonlatch.steering.peers import PeerTable, Telling, count_turns, take_turn
+from lagoonlatch.steering.watchers import Standing
 from lagoonlatch.upstreams.quarantine import Quarantine, SuspectReport
 
 NEAR_INTERVAL: Millis = 100.0
@@ -37,7 +40,11 @@
 MAX_DATAGRAM = 8_192
 """Largest datagram that is read; what VMs tell stays far below."""
 
-_PROTOCOL = TBinaryProtocolAcceleratedFactory()
+SPARE_TOLD = 16
+"""Organisations whose spare tokens one tell names; a datagram stays small with any
+number of them, and a dozen tells a second name all."""
+
+_PROTOCOL = TCompactProtocolAcceleratedFactory()
 
 
 class PeerLink:
@@ -53,6 +60,10 @@
         Returns this VM's requests at each upstream.
     is_leaving : callable
         Returns whether this VM leaves.
+    standing : callable
+        Returns how this VM learns what the store holds.
+    reading : StoreReading
+        Takes in what other VMs pass on.
     """
 
     def __init__(
@@ -61,6 +72,8 @@
         list_peers: Callable[[], Iterable[tuple[VmRecord, bool]]],
         in_flight_by_upstream: Callable[[], dict[str, int]],
         is_leaving: Callable[[], bool],
+        standing: Callable[[], Standing],
+        reading: StoreReading,
         allowances: Allowances,
         quarantine: Quarantine,
         table: PeerTable,
@@ -70,6 +83,9 @@
         self._list_peers = list_peers
         self._in_flight_by_upstream = in_flight_by_upstream
         self._is_leaving = is_leaving
+        self._standing = standing
+        self._reading = reading
+        self._spare_told = 0
         self._allowances = allowances
         self._quarantine = quarantine
         self._table = table
@@ -83,6 +99,11 @@
         """Take the VM's port."""
         self._sock.bind(Endpoint.from_address(self._me.peer_address).pair)
 
+    def address_of(self, vm: str) -> str | None:
+        """Return where a VM listens that was heard or told."""
+        pair = self._address_by_vm.get(vm)
+        return f"{pair[0]}:{pair[1]}" if pair is not None else None
+
     def addresses(self) -> list[str]:
         """Return where other VMs listen: those known from the store or heard."""
         known = [vm.peer_address for vm, _ in self._list_peers()]
@@ -98,16 +119,18 @@
         turn = 0
         while True:
             near, far = self._split_peers()
-            self._tell_peers(take_turn(near, turn))
+            interval = NEAR_INTERVAL * count_turns(len(near))
+            self._tell_peers(take_turn(near, turn), interval)
             if turn % FAR_EVERY == 0:
-                self._tell_peers(take_turn(far, turn // FAR_EVERY))
+                interval = NEAR_INTERVAL * FAR_EVERY * count_turns(len(far))
+                self._tell_peers(take_turn(far, turn // FAR_EVERY), interval)
             turn += 1
             gevent.sleep(NEAR_INTERVAL / MILLIS_PER_SECOND)
 
     def tell_leaving(self) -> None:
         """Tell all at once that this VM leaves."""
         near, far = self._split_peers()
-        self._tell_peers(near + far)
+        self._tell_peers(near + far, NEAR_INTERVAL)
 
     def receive(self) -> None:
         """Take datagrams for ever."""
@@ -184,6 +207,8 @@
             self._send(Datagram(loan=loan), address)
         elif datagram.loan is not None:
             self._finish_ask(datagram.loan.number, datagram.loan.tokens)
+        elif datagram.batch is not None:
+            self._reading.take_batch(decode_batch(datagram.batch))
         elif datagram.suspect is not None:
             told = datagram.suspect
             self._quarantine.report(told.fingerprint, told.deaths, told.duration)
@@ -195,13 +220,23 @@
         for peer, _ in self._list_peers():
             self._send_bytes(data, Endpoint.from_address(peer.peer_address).pair)
 
+    def pass_on(self, batch: Batch) -> None:
+        """Tell the VMs of this region what the store has told."""
+        data = serialize(Datagram(batch=encode_batch(batch)), _PROTOCOL)
+        if len(data) > MAX_DATAGRAM:
+            # They see that this VM knows more, and ask for it.
+            return
+        near, _ = self._split_peers()
+        for peer in near:
+            self._send_bytes(data, Endpoint.from_address(peer.peer_address).pair)
+
     def _split_peers(self) -> tuple[list[VmRecord], list[VmRecord]]:
         """Return the VMs of this region and the others, sorted by id."""
         peers = sorted(self._list_peers(), key=lambda peer: peer[0].id)
         near = [vm for vm, is_near in peers if is_near]
         return near, [vm for vm, is_near in peers if not is_near]
 
-    def _tell_peers(self, peers: Sequence[VmRecord]) -> None:
+    def _tell_peers(self, peers: Sequence[VmRecord], interval: Millis) -> None:
         if not peers:
             return
         tell = Tell(
@@ -209,7 +244,10 @@
             run=self._me.run,
             leaving=self._is_leaving(),
             in_flight_by_upstream=self._in_flight_by_upstream(),
-            spare_by_organisation=self._allowances.spare_by_id(),
+            spare_by_organisation=self._take_spare(),
+            revision=self._reading.revision,
+            standing=int(self._standing()),
+            interval=round(interval),
         )
         data = serialize(Datagram(tell=tell), _PROTOCOL)
         for peer in peers:
@@ -217,6 +255,16 @@
             self._address_by_vm[peer.id] = address
             self._send_bytes(data, address)
 
+    def _take_spare(self) -> dict[str, int]:
+        """Return what could be lent of some organisations, all of them in turn."""
+        spare_by_id = self._allowances.spare_by_id()
+        names = sorted(spare_by_id)
+        if len(names) <= SPARE_TOLD:
+            return spare_by_id
+        first = self._spare_told % len(names)
+        self._spare_told = first + SPARE_TOLD
+        return {name: spare_by_id[name] for name in names[first : first + SPARE_TOLD]}
+
     def _send(self, datagram: Datagram, address: tuple[str, int]) -> None:
         self._send_bytes(serialize(datagram, _PROTOCOL), address)
 
@@ -234,4 +282,7 @@
         is_leaving=tell.leaving,
         in_flight_by_upstream=tell.in_flight_by_upstream or {},
         spare_by_organisation=tell.spare_by_organisation or {},
+        revision=tell.revision or 0,
+        standing=Standing(tell.standing or 0),
+        interval=float(tell.interval or 0),
     )
--- a/lagoonlatch/entry/process.py
+++ b/lagoonlatch/entry/process.py
@@ -34,9 +34,11 @@
 )
 from lagoonlatch.entry.metrics import EntryMetrics
 from lagoonlatch.entry.news import NewsReader, NewsServer
+from lagoonlatch.entry.outage import OutageMeter
 from lagoonlatch.entry.peers import PeerLink
 from lagoonlatch.entry.pool import ConnectionPool
 from lagoonlatch.entry.probes import Prober
+from lagoonlatch.entry.reading import StoreReading
 from lagoonlatch.entry.registration import Registration
 from lagoonlatch.entry.sync import StoreSync
 from lagoonlatch.exit_codes import ExitCode
@@ -54,6 +56,7 @@
 from lagoonlatch.steering.queueing import WaitingRoom
 from lagoonlatch.steering.repeats import RepeatBudget
 from lagoonlatch.steering.upstreams import Fleet
+from lagoonlatch.steering.watchers import Standing, should_watch, watch_wait
 from lagoonlatch.upstreams.quarantine import Quarantine
 
 BACKLOG = 1_024
@@ -150,8 +153,22 @@
             clock,
         )
         self._facts = Facts(self._fleet, clock)
-        self._sync = StoreSync(self._store, self._facts, bounds.settle_time, clock)
-        self._registration = Registration(self._store, self._me, clock)
+        self._reading = StoreReading(self._facts, clock)
+        hold = self._facts.hold_lapsed
+        self._sync = StoreSync(
+            self._store,
+            self._reading,
+            bounds.settle_time,
+            self._should_watch,
+            self._next_wait,
+            lambda batch: self._peers.pass_on(batch),
+            OutageMeter(hold, clock),
+            clock,
+            starts_first=settings.is_first_start,
+        )
+        self._registration = Registration(
+            self._store, self._me, OutageMeter(hold, clock), clock
+        )
         self._cold_ramp = ColdRamp(settings.vm, lambda: self._facts.vms_by_id, clock)
         self._allowances = Allowances(self._count_vms, settings.is_first_start, clock)
         quarantine = Quarantine(clock, death_limit=DEATH_LIMIT)
@@ -160,14 +177,21 @@
             self._list_peers,
             self._fleet.in_flight_by_id,
             self._stop.is_set,
+            lambda: self._sync.standing,
+            self._reading,
             self._allowances,
             quarantine,
             self._peer_table,
             clock,
         )
-        self._news = NewsServer(self._facts, self._sync)
+        self._news = NewsServer(self._reading, self._facts)
         self._news_reader = NewsReader(
-            self._facts, self._sync, self._peers.addresses, clock
+            self._reading,
+            self._facts,
+            self._sync,
+            self._peers.addresses,
+            self._addresses_ahead,
+            clock,
         )
         self._pool = ConnectionPool(clock)
         admission = Admission()
@@ -231,7 +255,7 @@
         return self._facts.rules.version if self._facts.rules is not None else 0
 
     def _revision(self) -> int:
-        return self._sync.revision
+        return self._reading.revision
 
     def _follow_rules(self, rules: TrafficRules) -> None:
         self._cold_ramp.configure(rules.services_by_id)
@@ -267,6 +291,8 @@
 
     def _ready_vms(self) -> list[VmRecord]:
         vms = [vm for vm in self._other_vms() if vm.is_ready]
+        for vm in vms:
+            self._peer_table.expect(vm.id)
         heard = [vm for vm in vms if not self._peer_table.is_silent(vm.id)]
         # A VM that hears few others is cut off itself.
         if len(heard) * 2 >= len(vms):
@@ -292,6 +318,25 @@
             for vm in self._other_vms()
         ]
 
+    def _should_watch(self) -> bool:
+        near = {vm.id for vm, is_near in self._list_peers() if is_near}
+        standing_by_vm = self._peer_table.standing_by_vm()
+        return should_watch(
+            self._me.id, {vm: s for vm, s in standing_by_vm.items() if vm in near}
+        )
+
+    def _next_wait(self, settle: Millis) -> Millis:
+        others = [
+            vm
+            for vm, standing in self._peer_table.standing_by_vm().items()
+            if standing is Standing.WATCHES
+        ]
+        return watch_wait(self._me.id, others, settle, self._clock.wall())
+
+    def _addresses_ahead(self, revision: int) -> list[str]:
+        addresses = map(self._peers.address_of, self._peer_table.ahead_of(revision))
+        return [address for address in addresses if address is not None]
+
     def _count_vms(self) -> int:
         return len(self._facts.roster | {self._me.id})
 
--- a/lagoonlatch/entry/registration.py
+++ b/lagoonlatch/entry/registration.py
@@ -10,16 +10,17 @@
 from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
 from lagoonlatch.entry.events import RegistrationFailed
 from lagoonlatch.entry.journal import emit
-from lagoonlatch.platform.kv import KeyValueStore
+from lagoonlatch.entry.outage import OutageMeter
+from lagoonlatch.platform.kv import KeyValueStore, Write
 from lagoonlatch.platform.registrations import ROSTER_PREFIX, VM_PREFIX, encode_vm
-from lagoonlatch.platform.store import StoreConflict, StoreError, StoreLeaseEnded
+from lagoonlatch.platform.store import StoreError, StoreLeaseEnded
 from lagoonlatch.steering.model import VmRecord
 
-LEASE_DURATION: Millis = 4_000.0
-"""A dead VM leaves the directory after this; callers try another one meanwhile."""
+LEASE_DURATION: Millis = 5_000.0
+"""The entry of a dead VM ends after this; those that heard it know sooner."""
 
-RENEW_INTERVAL: Millis = 1_500.0
-"""Two renewals may fail before the lease ends."""
+RENEW_INTERVAL: Millis = 2_000.0
+"""A renewal and some retries may fail before the lease ends."""
 
 RETRY_INTERVAL: Millis = 500.0
 """Pause after a failed call."""
@@ -28,12 +29,18 @@
 class Registration:
     """Keeps the VM's entry alive under a lease, and its name in the roster."""
 
-    def __init__(self, store: KeyValueStore, record: VmRecord, clock: Clock) -> None:
+    def __init__(
+        self,
+        store: KeyValueStore,
+        record: VmRecord,
+        outage: OutageMeter,
+        clock: Clock,
+    ) -> None:
         self._store = store
+        self._outage = outage
         self._record = record
         self._clock = clock
         self._lease: int | None = None
-        self._is_enrolled = False
         self._is_leaving = False
 
     def run(self) -> None:
@@ -49,29 +56,19 @@
             self._log_failure("leave", self._store.revoke_lease(self._lease))
 
     def _step(self) -> Millis:
-        if not self._is_enrolled:
-            return self._enroll()
         if self._lease is None:
             return self._register()
+        sent = self._clock.now()
         renewed = self._store.renew_lease(self._lease)
         if not isinstance(renewed, Failure):
+            self._outage.note_success()
             return RENEW_INTERVAL
         self._log_failure("renew", renewed)
         if isinstance(renewed.failure(), StoreLeaseEnded):
+            self._outage.note_success()
             self._lease = None
             return 0.0
-        return RETRY_INTERVAL
-
-    def _enroll(self) -> Millis:
-        key = f"{ROSTER_PREFIX}{self._record.id}"
-        written = self._store.put_if(key, b"{}", 0)
-        known = isinstance(written, Failure) and isinstance(
-            written.failure(), StoreConflict
-        )
-        if known or not isinstance(written, Failure):
-            self._is_enrolled = True
-            return 0.0
-        self._log_failure("enroll", written)
+        self._outage.note_failure(sent)
         return RETRY_INTERVAL
 
     def _register(self) -> Millis:
@@ -80,8 +77,13 @@
             self._log_failure("grant", granted)
             return RETRY_INTERVAL
         lease = granted.unwrap()
-        key = f"{VM_PREFIX}{self._record.id}"
-        written = self._store.put(key, encode_vm(self._record), lease)
+        id_ = self._record.id
+        written = self._store.put_all(
+            [
+                Write(f"{ROSTER_PREFIX}{id_}", b"{}"),
+                Write(f"{VM_PREFIX}{id_}", encode_vm(self._record), lease),
+            ]
+        )
         if isinstance(written, Failure):
             self._log_failure("register", written)
             return RETRY_INTERVAL
--- a/lagoonlatch/entry/sync.py
+++ b/lagoonlatch/entry/sync.py
@@ -1,18 +1,26 @@
-"""Follows the store: one snapshot, then a waiting watch."""
+"""Follows the store: one snapshot, then waiting watches or what other VMs pass on."""
 
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 
 import gevent
 from returns.result import Failure
 
-from lagoonlatch.clock import Clock, Millis
-from lagoonlatch.entry.events import StoreLost, StoreRegained, WatchHistoryGone
-from lagoonlatch.entry.facts import Facts
+from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
+from lagoonlatch.entry.events import (
+    StandingChanged,
+    StoreLost,
+    StoreRegained,
+    WatchHistoryGone,
+)
 from lagoonlatch.entry.journal import emit
+from lagoonlatch.entry.outage import OutageMeter
+from lagoonlatch.entry.reading import Batch, StoreReading
 from lagoonlatch.platform.kv import HistoryGone, KeyValueStore, Watch
 from lagoonlatch.platform.store import StoreError
+from lagoonlatch.steering.watchers import TURNS, Standing
 
 LONGEST_WAIT: Millis = 25_000.0
 """The store lets a watch wait for 30 s."""
@@ -28,45 +36,65 @@
 RETRY_MOST: Millis = 500.0
 """Bounds of the growing pause between calls to a store that fails."""
 
-OUTAGE: Millis = 1_000.0
-"""A store that has failed for so long may have let entries lapse."""
+LISTEN_POLL: Millis = 100.0
+"""How often a VM that listens looks whether it must watch."""
+
+FIRST_READING: Millis = 1_000.0
+"""At the first start of all, VMs read after they have registered, so that one reading
+shows all of them; they start within 0.3 s of each other."""
 
 
 class StoreSync:
-    """Keeps the facts up to date with the store.
+    """Keeps this VM's reading up to date with the store.
 
     Parameters
     ----------
     settle_time : Millis
         A store that drops its history may leave a waiting watch without its changes;
-        since a new call tells so, no call waits for this long.
-    prefix : str
-        The keys followed.
-
-    Attributes
-    ----------
-    revision : int
-        Of the store, up to which the facts are complete; 0 before the first reading.
+        since a new call tells so, some call must come round within this.
+    should_watch : callable
+        Returns whether this VM watches the store or listens to others that do.
+    next_wait : callable
+        Returns how long the next watch waits, from the longest that one alone may.
+    pass_on : callable
+        Is given the changes that this VM's own watch has brought.
+    starts_first : bool
+        Whether all VMs start now for the first time.
     """
 
     def __init__(
         self,
         store: KeyValueStore,
-        facts: Facts,
+        reading: StoreReading,
         settle_time: Millis,
+        should_watch: Callable[[], bool],
+        next_wait: Callable[[Millis], Millis],
+        pass_on: Callable[[Batch], None],
+        outage: OutageMeter,
         clock: Clock,
-        prefix: str = "",
+        starts_first: bool = False,
     ) -> None:
         self._store = store
-        self._facts = facts
+        self._reading = reading
         self._clock = clock
-        self._prefix = prefix
-        wait = min(settle_time - WAIT_MARGIN, LONGEST_WAIT)
-        self._watch: Watch = store.open_watch(prefix, wait)
+        self._should_watch = should_watch
+        self._next_wait = next_wait
+        self._pass_on = pass_on
+        self._outage = outage
+        self._first_pause = FIRST_READING if starts_first else 0.0
+        self._alone_wait = min(settle_time - WAIT_MARGIN, LONGEST_WAIT / TURNS)
+        longest = self._alone_wait * (TURNS + 1.0)
+        self._watch: Watch = store.open_watch("", min(longest, LONGEST_WAIT))
         self._needs_reading = True
-        self.revision = 0
+        self._standing = Standing.LISTENS
         self._failing_since: Millis | None = None
         self._pause = RETRY_FIRST
+        self.is_gathering = False
+
+    @property
+    def standing(self) -> Standing:
+        """How this VM learns what the store holds."""
+        return Standing.REFUSED if self.is_failing else self._standing
 
     @property
     def is_failing(self) -> bool:
@@ -79,60 +107,79 @@
             return 0.0
         return self._clock.now() - self._failing_since
 
-    def note_reading(self, revision: int) -> None:
-        """Take in that another VM's reading up to `revision` is in the facts."""
-        self.revision = max(self.revision, revision)
-
     def run(self) -> None:
         """Follow the store for ever."""
+        gevent.sleep(self._first_pause / MILLIS_PER_SECOND)
         while True:
-            failure = self._read() if self._needs_reading else self._follow()
-            if failure is None:
-                self._note_success()
-            else:
-                self._note_failure(failure)
+            self._step()
+
+    def _step(self) -> None:
+        if not self._needs_reading and not self._should_watch():
+            self._stand(Standing.LISTENS)
+            gevent.sleep(LISTEN_POLL / MILLIS_PER_SECOND)
+            return
+        sent = self._clock.now()
+        failure = self._read() if self._needs_reading else self._follow()
+        if failure is not None:
+            self._note_failure(failure, sent)
+
+    def _stand(self, standing: Standing) -> None:
+        if standing is not self._standing:
+            self._standing = standing
+            emit(
+                StandingChanged(
+                    standing=standing.name.lower(), revision=self._reading.revision
+                )
+            )
 
     def _read(self) -> StoreError | None:
-        snapshot = self._store.read_prefix(self._prefix)
+        snapshot = self._store.read_prefix("")
         if isinstance(snapshot, Failure):
             return snapshot.failure()
         self._note_success()
         found = snapshot.unwrap()
-        self._facts.take_snapshot(found.entries)
-        self.revision = found.revision
+        self._reading.take_snapshot(found.entries, found.revision)
         self._needs_reading = False
         return None
 
     def _follow(self) -> StoreError | None:
-        changes = self._watch.wait_for_changes(self.revision)
+        self._stand(Standing.WATCHES)
+        since = self._reading.revision
+        wait = min(self._next_wait(self._alone_wait), LONGEST_WAIT)
+        changes = self._watch.wait_for_changes(since, wait)
         if isinstance(changes, Failure):
             error = changes.failure()
             # What happened meanwhile is read anew.
             self._needs_reading = True
             if isinstance(error, HistoryGone):
-                emit(WatchHistoryGone(revision=self.revision))
+                emit(WatchHistoryGone(revision=since))
                 return None
             return error
         self._note_success()
         found = changes.unwrap()
-        self._facts.take_changes(found.changes)
-        self.revision = found.revision
+        batch = Batch(since=since, until=found.revision, changes=found.changes)
+        self._reading.take_batch(batch)
         if found.changes:
-            gevent.sleep(GATHER / 1_000.0)
+            self._pass_on(batch)
+            self.is_gathering = True
+            gevent.sleep(GATHER / MILLIS_PER_SECOND)
+            self.is_gathering = False
         return None
 
     def _note_success(self) -> None:
+        self._outage.note_success()
         if self._failing_since is not None:
             outage = self._clock.now() - self._failing_since
-            if outage > OUTAGE:
-                self._facts.note_outage_end()
-            emit(StoreRegained(outage_ms=round(outage), revision=self.revision))
+            emit(
+                StoreRegained(outage_ms=round(outage), revision=self._reading.revision)
+            )
         self._failing_since = None
         self._pause = RETRY_FIRST
 
-    def _note_failure(self, error: StoreError) -> None:
+    def _note_failure(self, error: StoreError, sent: Millis) -> None:
+        self._outage.note_failure(sent)
         if self._failing_since is None:
             self._failing_since = self._clock.now()
-            emit(StoreLost(why=str(error), revision=self.revision))
-        gevent.sleep(self._pause * random.uniform(0.7, 1.3) / 1_000.0)
+            emit(StoreLost(why=str(error), revision=self._reading.revision))
+        gevent.sleep(self._pause * random.uniform(0.7, 1.3) / MILLIS_PER_SECOND)
         self._pause = min(self._pause * 2.0, RETRY_MOST)
--- a/lagoonlatch/platform/kv.py
+++ b/lagoonlatch/platform/kv.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import TypeVar
 from urllib.parse import urlencode
@@ -91,6 +91,15 @@
     revision: int
 
 
+@dataclass(frozen=True)
+class Write:
+    """An entry to write; with `lease` it is removed when the lease ends."""
+
+    key: str
+    value: bytes
+    lease: int = 0
+
+
 class _Item(msgspec.Struct):
     key: str
     rev: int
@@ -186,14 +195,20 @@
                 return Success(Snapshot(tuple(entries), revision))
             after = found.items[-1].key
 
-    def open_watch(self, prefix: str, wait: Millis) -> Watch:
-        """Return a watch of `prefix`, whose calls wait up to `wait`."""
-        return Watch(self._endpoint, prefix, wait, self._observe)
+    def open_watch(self, prefix: str, longest_wait: Millis) -> Watch:
+        """Return a watch of `prefix`, whose calls wait up to `longest_wait`."""
+        return Watch(self._endpoint, prefix, longest_wait, self._observe)
 
     def put(self, key: str, value: bytes, lease: int = 0) -> Result[int, StoreError]:
         """Write `value` and return its revision."""
         return self._transact({"writes": [_write(key, value, lease)]}, key, lease)
 
+    def put_all(self, writes: Sequence[Write]) -> Result[int, StoreError]:
+        """Write all entries or none and return their revision."""
+        body = {"writes": [_write(w.key, w.value, w.lease) for w in writes]}
+        lease = max(write.lease for write in writes)
+        return self._transact(body, writes[0].key, lease)
+
     def put_if(
         self, key: str, value: bytes, revision: int, lease: int = 0
     ) -> Result[int, StoreError]:
@@ -247,21 +262,20 @@
     """Waits for changes under a prefix, on a connection of its own."""
 
     def __init__(
-        self, endpoint: Endpoint, prefix: str, wait: Millis, observe: Observer
+        self, endpoint: Endpoint, prefix: str, longest_wait: Millis, observe: Observer
     ) -> None:
         self._prefix = prefix
-        self._wait = wait
-        connections = Connections(endpoint, wait + WATCH_MARGIN, size=1)
+        connections = Connections(endpoint, longest_wait + WATCH_MARGIN, size=1)
         self._connections = _Observed(connections, observe)
 
     def wait_for_changes(
-        self, revision: int
+        self, revision: int, wait: Millis
     ) -> Result[Changes, StoreError | HistoryGone]:
-        """Return the changes after `revision`, none if the wait ends first."""
+        """Return the changes after `revision`, none if `wait` ends first."""
         query = {
             "path_prefix": self._prefix,
             "after": str(revision),
-            "wait_ms": str(int(self._wait)),
+            "wait_ms": str(int(wait)),
         }
         outcome = _get(self._connections, "/kv-watch", query)
         if isinstance(outcome, Success) and outcome.unwrap().status == _GONE:
--- a/lagoonlatch/steering/allowances.py
+++ b/lagoonlatch/steering/allowances.py
@@ -114,13 +114,11 @@
             bucket.level += 1.0
 
     def spare_by_id(self) -> dict[str, int]:
-        """Return the whole tokens that could be lent, by organisation."""
+        """Return the whole tokens that could be lent, by organisation, also if none."""
         spare_by_id = {}
         for name, bucket in self._buckets_by_id.items():
             self._fill(bucket)
-            spare = self._spare(bucket)
-            if spare > 0:
-                spare_by_id[name] = spare
+            spare_by_id[name] = self._spare(bucket)
         return spare_by_id
 
     def lend(self, organisation: str, wanted: int) -> int:
--- /dev/null
+++ b/tests/entry/test_reading.py
@@ -0,0 +1,97 @@
+import pytest
+
+from lagoonlatch.entry.facts import Facts
+from lagoonlatch.entry.reading import KEPT, Batch, StoreReading
+from lagoonlatch.platform.kv import Change
+from lagoonlatch.platform.store import Entry
+from lagoonlatch.standins.manual_clock import ManualClock
+from tests.entry.test_facts import config, upstream
+from tests.steering.samples import make_fleet
+
+
+class Vm:
+    def __init__(self):
+        self.clock = ManualClock()
+        self.facts = Facts(make_fleet(self.clock), self.clock)
+        self.reading = StoreReading(self.facts, self.clock)
+        entries = [
+            Entry("op/config", config(3), 8),
+            Entry("servers/i-1", upstream(), 9),
+        ]
+        self.reading.take_snapshot(entries, 10)
+
+    def names(self):
+        return {state.record.id for state in self.facts.fleet.usable("ledger")}
+
+
+@pytest.fixture
+def vm():
+    return Vm()
+
+
+def batch(since, until, *changes, **more):
+    return Batch(since=since, until=until, changes=changes, **more)
+
+
+def added(name, revision):
+    return Change(f"servers/{name}", upstream(), revision)
+
+
+def gone(name, revision):
+    return Change(f"servers/{name}", None, revision)
+
+
+def test_changes_are_applied_once_however_often_they_come(vm):
+    assert vm.reading.take_batch(batch(10, 12, added("i-2", 11), gone("i-1", 12)))
+    assert vm.names() == {"i-2"}
+    assert vm.reading.take_batch(batch(12, 13, added("i-1", 13)))
+    # The first comes once more, from another VM.
+    assert vm.reading.take_batch(batch(10, 12, added("i-2", 11), gone("i-1", 12)))
+    assert vm.reading.take_batch(
+        batch(10, 14, gone("i-1", 12), added("i-1", 13), gone("i-2", 14))
+    )
+    assert vm.names() == {"i-1"}
+    assert vm.reading.revision == 14
+
+
+def test_changes_with_a_gap_before_them_are_not_taken(vm):
+    assert not vm.reading.take_batch(batch(11, 12, gone("i-1", 12)))
+    assert vm.names() == {"i-1"}
+    assert vm.reading.revision == 10
+
+
+def test_nothing_is_taken_before_the_first_reading():
+    clock = ManualClock()
+    reading = StoreReading(Facts(make_fleet(clock), clock), clock)
+    assert not reading.take_batch(batch(0, 5, added("i-1", 5)))
+
+
+def test_what_is_passed_on_is_all_that_one_misses(vm):
+    vm.reading.take_batch(batch(10, 12, added("i-2", 11), gone("i-1", 12)))
+    vm.reading.take_batch(batch(11, 14, gone("i-1", 12), added("i-3", 14)))
+    other = Vm()
+    assert other.reading.take_batch(vm.reading.batch_since(10))
+    assert other.names() == vm.names() == {"i-2", "i-3"}
+    assert other.reading.revision == 14
+    later = vm.reading.batch_since(12)
+    assert [change.revision for change in later.changes] == [14]
+    assert vm.reading.batch_since(9) is None
+
+
+def test_changes_are_forgotten_as_the_store_forgets_them(vm):
+    vm.reading.take_batch(batch(10, 11, added("i-2", 11)))
+    vm.clock.advance(KEPT + 1.0)
+    vm.reading.take_batch(batch(11, 12, added("i-3", 12)))
+    assert vm.reading.batch_since(10) is None
+    assert vm.reading.batch_since(11) is not None
+
+
+def test_entries_that_lapsed_in_an_outage_are_held_where_they_are_told(vm):
+    vm.facts.hold_lapsed()
+    vm.reading.take_batch(batch(10, 11, gone("i-1", 11)))
+    other = Vm()
+    other.reading.take_batch(vm.reading.batch_since(10))
+    assert vm.names() == other.names() == {"i-1"}
+    other.clock.advance(3_000.0)
+    other.facts.settle()
+    assert other.names() == set()
--- a/tests/platform/test_kv.py
+++ b/tests/platform/test_kv.py
@@ -45,7 +45,7 @@
 
     standin._show = show_and_change
     snapshot = store.read_prefix("a/").unwrap()
-    found = store.open_watch("a/", 1_000.0).wait_for_changes(snapshot.revision)
+    found = store.open_watch("a/", 1_000.0).wait_for_changes(snapshot.revision, 1_000.0)
     assert [(c.key, c.value) for c in found.unwrap().changes] == [("a/00001", b"new")]
 
 
@@ -65,15 +65,15 @@
     watch = store.open_watch("a/", 5_000.0)
     revision = store.read_prefix("a/").unwrap().revision
     gevent.spawn_later(0.05, standin.put, "a/1", b"x")
-    found = watch.wait_for_changes(revision).unwrap()
+    found = watch.wait_for_changes(revision, 5_000.0).unwrap()
     assert [(c.key, c.value) for c in found.changes] == [("a/1", b"x")]
     standin.remove("a/1")
-    (change,) = watch.wait_for_changes(found.revision).unwrap().changes
+    (change,) = watch.wait_for_changes(found.revision, 5_000.0).unwrap().changes
     assert change == Change("a/1", None, change.revision)
 
 
 def test_a_watch_without_changes_ends_with_none(store):
-    found = store.open_watch("a/", 50.0).wait_for_changes(1).unwrap()
+    found = store.open_watch("a/", 50.0).wait_for_changes(1, 50.0).unwrap()
     assert found.changes == ()
 
 
@@ -81,7 +81,7 @@
     for _ in range(3):
         standin.put("a/1", b"x")
     standin.forget_history()
-    failure = store.open_watch("a/", 50.0).wait_for_changes(1).failure()
+    failure = store.open_watch("a/", 50.0).wait_for_changes(1, 50.0).failure()
     assert failure == HistoryGone()
 
 
@@ -122,7 +122,7 @@
     standin.refuse_with = 500
     assert isinstance(store.read_prefix("k").failure(), StoreUnavailable)
     watch = store.open_watch("k", 50.0)
-    assert isinstance(watch.wait_for_changes(1).failure(), StoreUnavailable)
+    assert isinstance(watch.wait_for_changes(1, 50.0).failure(), StoreUnavailable)
 
 
 def test_a_store_out_of_reach_is_unavailable():
