Let a few VMs of each region hold an organisation's allowance

Ruled out: cold objects (a first touch is 8% of requests at most), free slots (a third is in use), the lowered organisation alone.

Now four VMs of each region hold the allowance, chosen by rendezvous over the roster, which names data centres; the others borrow, nearby first. With 11 VMs or fewer all hold a part, as before.

--- a/lagoonlatch/entry/facts.py
+++ b/lagoonlatch/entry/facts.py
@@ -29,6 +29,7 @@
     ROSTER_PREFIX,
     UPSTREAM_PREFIX,
     VM_PREFIX,
+    decode_roster,
     decode_upstream,
     decode_vm,
 )
@@ -52,8 +53,8 @@
         The VMs with a live entry.
     known_vms_by_id : dict of str to VmRecord
         The newest entry of each VM, also of those whose entry is gone.
-    roster : set of str
-        Ids of all VMs that share what is divided among VMs.
+    roster : dict of str to str
+        The data centres of all VMs that share what is divided among VMs, by id.
     """
 
     def __init__(self, fleet: Fleet, clock: Clock) -> None:
@@ -61,7 +62,7 @@
         self.rules: TrafficRules | None = None
         self.vms_by_id: dict[str, VmRecord] = {}
         self.known_vms_by_id: dict[str, VmRecord] = {}
-        self.roster: set[str] = set()
+        self.roster: dict[str, str] = {}
         self._clock = clock
         self._evacuated: set[str] = set()
         self._on_rules: list[Callable[[TrafficRules], None]] = []
@@ -133,7 +134,7 @@
         elif key.startswith(VM_PREFIX):
             self._write_vm(key, value)
         elif key.startswith(ROSTER_PREFIX):
-            self.roster.add(key.removeprefix(ROSTER_PREFIX))
+            self.roster[key.removeprefix(ROSTER_PREFIX)] = decode_roster(value)
 
     def _remove(self, key: str) -> None:
         self._entry_by_key.pop(key, None)
@@ -150,7 +151,7 @@
             if self.vms_by_id.pop(vm, None) is not None:
                 emit(VmGone(subject=vm))
         elif key.startswith(ROSTER_PREFIX):
-            self.roster.discard(key.removeprefix(ROSTER_PREFIX))
+            self.roster.pop(key.removeprefix(ROSTER_PREFIX), None)
 
     def _write_rules(self, value: bytes) -> None:
         decoded = decode_configuration(value)
--- a/lagoonlatch/entry/peers.py
+++ b/lagoonlatch/entry/peers.py
@@ -19,6 +19,7 @@
 from lagoonlatch.entry.reading import Batch, StoreReading
 from lagoonlatch.platform.endpoint import Endpoint
 from lagoonlatch.steering.allowances import Allowances
+from lagoonlatch.steering.holders import Holders
 from lagoonlatch.steering.model import VmRecord
 from lagoonlatch.steering.peers import PeerTable, Telling, count_turns, take_turn
 from lagoonlatch.steering.watchers import Standing
@@ -64,6 +65,8 @@
         Returns how this VM learns what the store holds.
     reading : StoreReading
         Takes in what other VMs pass on.
+    holders : Holders
+        Who may have tokens to lend.
     """
 
     def __init__(
@@ -74,6 +77,7 @@
         is_leaving: Callable[[], bool],
         standing: Callable[[], Standing],
         reading: StoreReading,
+        holders: Holders,
         allowances: Allowances,
         quarantine: Quarantine,
         table: PeerTable,
@@ -85,6 +89,7 @@
         self._is_leaving = is_leaving
         self._standing = standing
         self._reading = reading
+        self._holders = holders
         self._spare_told = 0
         self._allowances = allowances
         self._quarantine = quarantine
@@ -171,9 +176,11 @@
         if pending is not None:
             return pending
         wanted = self._allowances.wanted(organisation)
-        lender = self._table.best_lender(organisation)
+        if not wanted:
+            return None
+        lender = self._find_lender(organisation, wanted)
         address = self._address_by_vm.get(lender or "")
-        if not wanted or lender is None or address is None:
+        if lender is None or address is None:
             return None
         self._table.note_asked(lender, organisation, wanted)
         number = random.getrandbits(62)
@@ -187,6 +194,15 @@
         )
         return pending
 
+    def _find_lender(self, organisation: str, wanted: int) -> str | None:
+        near = self._holders.near(organisation)
+        lender = self._table.best_lender(organisation, wanted, near)
+        if lender is not None or self._holders.part(organisation).is_held:
+            return lender
+        # A holder may have got some since it told; it is the only one to ask.
+        heard = [vm for vm in near if self._table.is_heard(vm)]
+        return random.choice(heard) if heard else None
+
     def _finish_ask(self, number: int, tokens: int) -> None:
         organisation = self._organisation_by_number.pop(number, None)
         if organisation is None:
--- a/lagoonlatch/entry/process.py
+++ b/lagoonlatch/entry/process.py
@@ -49,6 +49,7 @@
 from lagoonlatch.steering.admission import Admission
 from lagoonlatch.steering.allowances import Allowances
 from lagoonlatch.steering.cold import ColdRamp
+from lagoonlatch.steering.holders import Holders
 from lagoonlatch.steering.lookup import Lookup
 from lagoonlatch.steering.model import CallerLimits, TrafficRules, VmRecord
 from lagoonlatch.steering.peers import PeerTable
@@ -170,7 +171,10 @@
             self._store, self._me, OutageMeter(hold, clock), clock
         )
         self._cold_ramp = ColdRamp(settings.vm, lambda: self._facts.vms_by_id, clock)
-        self._allowances = Allowances(self._count_vms, settings.is_first_start, clock)
+        self._holders = Holders(settings.vm, settings.region, self._region_by_vm)
+        self._allowances = Allowances(
+            self._holders.part, settings.is_first_start, clock
+        )
         quarantine = Quarantine(clock, death_limit=DEATH_LIMIT)
         self._peers = PeerLink(
             self._me,
@@ -179,6 +183,7 @@
             self._stop.is_set,
             lambda: self._sync.standing,
             self._reading,
+            self._holders,
             self._allowances,
             quarantine,
             self._peer_table,
@@ -337,8 +342,15 @@
         addresses = map(self._peers.address_of, self._peer_table.ahead_of(revision))
         return [address for address in addresses if address is not None]
 
+    def _region_by_vm(self) -> dict[str, str]:
+        region_of = self._settings.region_by_data_centre.get
+        return {
+            vm: region_of(data_centre, "")
+            for vm, data_centre in self._facts.roster.items()
+        }
+
     def _count_vms(self) -> int:
-        return len(self._facts.roster | {self._me.id})
+        return len({*self._facts.roster, self._me.id})
 
     def _count_neighbours(self) -> int:
         """Return the number of VMs in this region, this one included."""
--- a/lagoonlatch/entry/registration.py
+++ b/lagoonlatch/entry/registration.py
@@ -12,7 +12,12 @@
 from lagoonlatch.entry.journal import emit
 from lagoonlatch.entry.outage import OutageMeter
 from lagoonlatch.platform.kv import KeyValueStore, Write
-from lagoonlatch.platform.registrations import ROSTER_PREFIX, VM_PREFIX, encode_vm
+from lagoonlatch.platform.registrations import (
+    ROSTER_PREFIX,
+    VM_PREFIX,
+    encode_roster,
+    encode_vm,
+)
 from lagoonlatch.platform.store import StoreError, StoreLeaseEnded
 from lagoonlatch.steering.model import VmRecord
 
@@ -80,7 +85,7 @@
         id_ = self._record.id
         written = self._store.put_all(
             [
-                Write(f"{ROSTER_PREFIX}{id_}", b"{}"),
+                Write(f"{ROSTER_PREFIX}{id_}", encode_roster(self._record.data_centre)),
                 Write(f"{VM_PREFIX}{id_}", encode_vm(self._record), lease),
             ]
         )
--- a/lagoonlatch/platform/registrations.py
+++ b/lagoonlatch/platform/registrations.py
@@ -33,6 +33,10 @@
     ready: bool
 
 
+class _Place(msgspec.Struct):
+    data_centre: str = ""
+
+
 def decode_upstream(key: str, value: bytes) -> Result[UpstreamRecord, str]:
     """Decode an upstream's entry; one that is odd names no upstream."""
     try:
@@ -56,6 +60,19 @@
     )
 
 
+def encode_roster(data_centre: str) -> bytes:
+    """Encode a VM's place in the roster."""
+    return msgspec.json.encode(_Place(data_centre=data_centre))
+
+
+def decode_roster(value: bytes) -> str:
+    """Decode the data centre of a VM in the roster; empty if it can't be read."""
+    try:
+        return msgspec.json.decode(value, type=_Place).data_centre
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return ""
+
+
 def encode_vm(record: VmRecord) -> bytes:
     """Encode a VM's entry."""
     return msgspec.json.encode(
--- a/lagoonlatch/steering/allowances.py
+++ b/lagoonlatch/steering/allowances.py
@@ -1,7 +1,7 @@
 """Each organisation's rate and burst over all VMs, divided among them.
 
 The load answered here: an organisation's callers ask many VMs at once, unevenly, and
-move between them within seconds. Each VM holds an even part of the rate and of the
+move between them within seconds. Each holder has an even part of the rate and of the
 burst. What a VM has left over it lends to one that runs short; tokens are taken off
 before they are sent, so that a lost message loses tokens and never doubles them.
 """
@@ -12,13 +12,18 @@
 from collections.abc import Callable, Mapping
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
+from lagoonlatch.steering.holders import Part
 from lagoonlatch.steering.model import Organisation
 
 FIRST_LEVEL: Millis = 100.0
 """A VM that starts during the day begins with what its rate brings in this time."""
 
 NO_RATE_RETRY: Millis = 1_000.0
-"""When to come back if this VM has no part of the rate."""
+"""When to come back if the rate is below one request in this time."""
+
+IDLE: Millis = 2_000.0
+"""A VM that holds no part drops what it borrowed after such a time without requests,
+so that tokens don't pile up where nobody uses them."""
 
 DEMAND_MEMORY: Millis = 1_000.0
 """Time constant of the measured demand; shifts of callers take seconds."""
@@ -33,6 +38,11 @@
 """A lender keeps what lasts so long at its own demand."""
 
 
+QUIET = 0.1
+"""Requests a second below which a VM counts as having no callers of an organisation;
+the average of what went before never fades to nothing."""
+
+
 class _Bucket:
     def __init__(self, organisation: Organisation, level: float, now: Millis) -> None:
         self.organisation = organisation
@@ -41,9 +51,11 @@
         self.demand = 0.0
         """Requests a second that callers ask for here."""
         self.measured = now
+        self.asked = now
 
     def note_demand(self, now: Millis) -> None:
         self.fade_demand(now)
+        self.asked = now
         self.demand += MILLIS_PER_SECOND / DEMAND_MEMORY
 
     def fade_demand(self, now: Millis) -> None:
@@ -60,16 +72,16 @@
 
     Parameters
     ----------
-    count_vms : callable
-        Returns among how many VMs the allowances are divided.
+    part_of : callable
+        Returns what this VM holds of an organisation's allowance.
     starts_full : bool
         Whether nothing was spent before this VM's start.
     """
 
     def __init__(
-        self, count_vms: Callable[[], int], starts_full: bool, clock: Clock
+        self, part_of: Callable[[str], Part], starts_full: bool, clock: Clock
     ) -> None:
-        self._count_vms = count_vms
+        self._part_of = part_of
         self._starts_full = starts_full
         self._clock = clock
         self._buckets_by_id: dict[str, _Bucket] = {}
@@ -114,11 +126,16 @@
             bucket.level += 1.0
 
     def spare_by_id(self) -> dict[str, int]:
-        """Return the whole tokens that could be lent, by organisation, also if none."""
+        """Return the whole tokens that could be lent, by organisation.
+
+        Those that this VM holds a part of are named also if there are none.
+        """
         spare_by_id = {}
         for name, bucket in self._buckets_by_id.items():
             self._fill(bucket)
-            spare_by_id[name] = self._spare(bucket)
+            spare = self._spare(bucket)
+            if spare or self._part_of(name).is_held:
+                spare_by_id[name] = spare
         return spare_by_id
 
     def lend(self, organisation: str, wanted: int) -> int:
@@ -154,7 +171,7 @@
         self._fill(bucket)
         if bucket.level >= max(bucket.lasting(LOW_MARK), 1.0):
             return 0
-        if bucket.demand < 0.1:
+        if bucket.demand < QUIET:
             return 0
         return max(math.ceil(bucket.lasting(BORROWED) - bucket.level), 1)
 
@@ -162,31 +179,32 @@
         if bucket.level >= 1.0:
             bucket.level -= 1.0
             return None
-        rate = bucket.organisation.rate * self._share()
-        if rate <= 0.0:
-            return NO_RATE_RETRY
-        return (1.0 - bucket.level) / rate * MILLIS_PER_SECOND
+        organisation = bucket.organisation
+        rate = organisation.rate * self._part_of(organisation.id).size
+        wait = (1.0 - bucket.level) / rate * MILLIS_PER_SECOND
+        return min(wait, NO_RATE_RETRY)
 
     def _spare(self, bucket: _Bucket) -> int:
         bucket.fade_demand(self._clock.now())
-        return max(math.floor(bucket.level - bucket.lasting(RESERVE)), 0)
+        kept = bucket.lasting(RESERVE) if bucket.demand >= QUIET else 0.0
+        return max(math.floor(bucket.level - kept), 0)
 
     def _first_level(self, organisation: Organisation) -> float:
         level = organisation.burst
         if not self._starts_full:
             level = organisation.rate * FIRST_LEVEL / MILLIS_PER_SECOND
-        return level * self._share()
-
-    def _share(self) -> float:
-        return 1.0 / max(self._count_vms(), 1)
+        return level * self._part_of(organisation.id).own
 
     def _depth(self, organisation: Organisation) -> float:
-        return max(organisation.burst * self._share(), 1.0)
+        return max(organisation.burst * self._part_of(organisation.id).own, 1.0)
 
     def _fill(self, bucket: _Bucket) -> None:
         now = self._clock.now()
-        gained = bucket.organisation.rate * self._share() * (now - bucket.filled)
+        part = self._part_of(bucket.organisation.id)
+        gained = bucket.organisation.rate * part.own * (now - bucket.filled)
         bucket.filled = now
+        if not part.is_held and now - bucket.asked > IDLE:
+            bucket.level = min(bucket.level, 0.0)
         depth = self._depth(bucket.organisation)
         if bucket.level < depth:
             bucket.level = min(bucket.level + gained / MILLIS_PER_SECOND, depth)
--- a/lagoonlatch/steering/peers.py
+++ b/lagoonlatch/steering/peers.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass
 from typing import TypeVar
 
@@ -22,6 +22,9 @@
 NEVER_HEARD: Millis = 3_000.0
 """So long a VM whose entry is known may not have told anything yet."""
 
+NEARER = 1_000_000
+"""Ranks a lender nearby before all others; more than any VM has to spare."""
+
 MISSED = 2.5
 """Tells that may be missed before a VM that tells rarely counts as silent."""
 
@@ -106,14 +109,20 @@
         ]
         return sum(fresh) if fresh else None
 
-    def best_lender(self, organisation: str) -> str | None:
-        """Return the VM with most tokens to spare; None if none has any."""
+    def best_lender(
+        self, organisation: str, wanted: int = 1, near: Collection[str] = ()
+    ) -> str | None:
+        """Return the VM with most tokens to spare; None if none has any.
+
+        One of `near` comes first if it has as many as are wanted.
+        """
         best, most = None, 0
         for vm, spare_by_organisation in self._spare_by_vm.items():
             spare = spare_by_organisation.get(organisation, 0)
             spare -= self._promised.get((vm, organisation), 0)
-            if spare > most and self._is_fresh(vm):
-                best, most = vm, spare
+            rank = spare + NEARER if spare >= wanted and vm in near else spare
+            if spare > 0 and rank > most and self._is_fresh(vm):
+                best, most = vm, rank
         return best
 
     def note_asked(self, vm: str, organisation: str, tokens: int) -> None:
--- a/tests/entry/test_facts.py
+++ b/tests/entry/test_facts.py
@@ -4,7 +4,7 @@
 
 from lagoonlatch.entry.facts import LAPSE_GRACE, Facts
 from lagoonlatch.platform.kv import Change
-from lagoonlatch.platform.registrations import VM_PREFIX, encode_vm
+from lagoonlatch.platform.registrations import VM_PREFIX, encode_roster, encode_vm
 from lagoonlatch.platform.store import Entry
 from lagoonlatch.standins.manual_clock import ManualClock
 from lagoonlatch.steering.model import VmRecord
@@ -145,5 +145,5 @@
     facts.take_changes([Change(f"{VM_PREFIX}vm-1", None, 21)])
     assert "vm-1" not in facts.vms_by_id
     assert facts.known_vms_by_id["vm-1"] == record
-    facts.take_changes([Change("lagoonlatch/roster/vm-1", b"{}", 22)])
-    assert facts.roster == {"vm-1"}
+    facts.take_changes([Change("lagoonlatch/roster/vm-1", encode_roster("n-a"), 22)])
+    assert facts.roster == {"vm-1": "n-a"}
--- a/tests/entry/test_handling.py
+++ b/tests/entry/test_handling.py
@@ -18,6 +18,7 @@
 from lagoonlatch.standins.manual_clock import ManualClock
 from lagoonlatch.steering.admission import Admission
 from lagoonlatch.steering.allowances import Allowances
+from lagoonlatch.steering.holders import Part
 from lagoonlatch.steering.model import RouteKind, TrafficRules
 from lagoonlatch.steering.placement import Placement
 from lagoonlatch.steering.queueing import WaitingRoom
@@ -87,7 +88,9 @@
             organisations_by_id={"dojo": dojo},
             services_by_id={"ledger": make_service()},
         )
-        self.allowances = Allowances(lambda: 1, True, self.clock)
+        self.allowances = Allowances(
+            lambda organisation: Part(1.0, True), True, self.clock
+        )
         self.allowances.configure(self.facts.rules.organisations_by_id)
         self.quarantine = Quarantine(self.clock, death_limit=3)
         placement = Placement(self.fleet, "north", ["north"], lambda _: True)
--- a/tests/steering/test_allowances.py
+++ b/tests/steering/test_allowances.py
@@ -4,12 +4,17 @@
 from hypothesis import strategies as st
 
 from lagoonlatch.standins.manual_clock import ManualClock
-from lagoonlatch.steering.allowances import Allowances
+from lagoonlatch.steering.allowances import IDLE, Allowances
+from lagoonlatch.steering.holders import Part
 from tests.steering.samples import make_organisation
 
 
+def even(count):
+    return lambda organisation: Part(1.0 / count, True)
+
+
 def make_vms(count, clock, rate=100.0, burst=100.0, starts_full=True):
-    vms = [Allowances(lambda: count, starts_full, clock) for _ in range(count)]
+    vms = [Allowances(even(count), starts_full, clock) for _ in range(count)]
     for vm in vms:
         vm.configure({"dojo": make_organisation(rate=rate, burst=burst)})
     return vms
@@ -69,7 +74,7 @@
         elif action == "wait":
             clock.advance(amount)
         elif action == "restart":
-            vms[index] = Allowances(lambda: count, False, clock)
+            vms[index] = Allowances(even(count), False, clock)
             vms[index].configure({"dojo": make_organisation(rate=rate, burst=burst)})
             refills += rate * 0.1 / count
         else:
@@ -122,3 +127,44 @@
     vms[1].lend("dojo", 1_000)
     assert spare <= 45
     assert vms[1].take("dojo") is None
+
+
+def play_small(part_of_vm, clock, seconds):
+    """Send 6 requests a second to one of 77 VMs after the other; return the share."""
+    vms = [Allowances(part_of_vm(index), True, clock) for index in range(77)]
+    for vm in vms:
+        vm.configure({"dojo": make_organisation(rate=10.0, burst=10.0)})
+    passed = 0
+    for number in range(6 * seconds):
+        clock.advance(1_000.0 / 6.0)
+        caller = vms[number * 31 % 77]
+        if caller.take("dojo") is None:
+            passed += 1
+            continue
+        lender = max(vms, key=lambda vm: vm.spare_by_id().get("dojo", 0))
+        caller.receive("dojo", lender.lend("dojo", caller.wanted("dojo")))
+        passed += caller.retake("dojo") is None
+    return passed / (6 * seconds)
+
+
+def test_a_small_allowance_is_found_by_callers_of_any_of_many_vms():
+    """Load: an organisation at 60% of 10 requests a second asks 77 VMs in turn."""
+    by_all = play_small(lambda index: even(77), ManualClock(), 60)
+    by_few = play_small(
+        lambda index: lambda organisation: Part(1.0 / 12.0, index < 12),
+        ManualClock(),
+        60,
+    )
+    assert by_few >= 0.99
+    assert by_all < by_few
+
+
+def test_a_vm_that_holds_no_part_drops_what_it_borrowed_and_did_not_use():
+    clock = ManualClock()
+    vm = Allowances(lambda organisation: Part(0.25, False), True, clock)
+    vm.configure({"dojo": make_organisation(rate=10.0, burst=10.0)})
+    assert vm.take("dojo") is not None
+    vm.receive("dojo", 5)
+    assert vm.take("dojo") is None
+    clock.advance(IDLE + 1.0)
+    assert vm.take("dojo") is not None
