Add a seeded fault soak of real entry VMs with an oracle of its own

The oracle judges by what callers and upstreams saw. Eight known faults can be planted. A fleet of stand-ins that can't start ends what it has started: four VMs of such a failure were still running.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 export PYTHONPATH := $(CURDIR)
 
-.PHONY: setup test lint demo bench binary generate generate-entry
+.PHONY: setup test lint demo soak bench binary generate generate-entry
 
 setup: $(VENV)/.ready
 
@@ -25,6 +25,9 @@
 	$(BIN)/python -m lagoonlatch.standins.demo
 	$(BIN)/python -m lagoonlatch.standins.entry_demo
 
+soak: setup
+	$(BIN)/python -m tests.soak --seed $(or $(SEED),0) --count $(or $(COUNT),1)
+
 binary: setup
 	$(BIN)/python -m lagoonlatch.binary build/lagoonlatch
 
--- a/lagoonlatch/standins/entry_fleet.py
+++ b/lagoonlatch/standins/entry_fleet.py
@@ -80,11 +80,21 @@
         self._vm_count = vms
         self._instance_count = instances
         self._folder = tempfile.TemporaryDirectory(prefix="entry-fleet-")
+        self.command: list[str] = [sys.executable, "-m", "lagoonlatch", "entry"]
         self._version = 0
         self._ports = PortBlock()
 
     def __enter__(self) -> EntryFleet:
         """Start everything and wait until all VMs are ready."""
+        try:
+            self._start()
+        except BaseException:
+            # Without this the VMs that did start would go on without a store.
+            self.__exit__()
+            raise
+        return self
+
+    def _start(self) -> None:
         self._server = self.store.serve()
         centres = list(REGION_BY_DATA_CENTRE)
         for number in range(self._instance_count):
@@ -93,7 +103,6 @@
         for number in range(self._vm_count):
             self.start_vm(f"vm-{number}", centres[number % len(centres)])
         self.await_ready()
-        return self
 
     def __exit__(self, *_exception: object) -> None:
         """End what was started."""
@@ -112,11 +121,25 @@
         instance = InstanceStandin(instance_id)
         instance.start()
         self.instances_by_id[instance_id] = instance
-        self.store.put(
-            f"{UPSTREAM_PREFIX}{instance_id}", instance.entry("ledger", data_centre)
-        )
+        self.register(instance, data_centre)
         return instance
 
+    def register(
+        self, instance: InstanceStandin, data_centre: str, state: str = "ready"
+    ) -> None:
+        """Write an upstream's entry, as it would itself."""
+        entry = instance.entry("ledger", data_centre, state)
+        entry["addr"] = self.upstream_address(instance)
+        self.store.put(f"{UPSTREAM_PREFIX}{instance.id}", entry)
+
+    def upstream_address(self, instance: InstanceStandin) -> str:
+        """Return where VMs connect to an upstream."""
+        return instance.address
+
+    def store_address(self, vm: str) -> str:
+        """Return where a VM connects to the store."""
+        return f"127.0.0.1:{self._server.server_port}"
+
     def configure(
         self, keys: tuple[str, ...] = (KEY,), rate: float = 0.0, timeout_s: float = 3.0
     ) -> int:
@@ -143,7 +166,7 @@
         path = Path(self._folder.name) / f"{vm}.toml"
         path.write_text(self._settings(vm, data_centre, ports, first))
         process = subprocess.Popen(
-            [sys.executable, "-m", "lagoonlatch", "entry"],
+            self.command,
             env={**os.environ, PATH_VARIABLE: str(path)},
             stdout=self._output,
         )
@@ -201,7 +224,7 @@
 ready = "127.0.0.1:{ports[1]}"
 directory = "127.0.0.1:{ports[2]}"
 [platform]
-addr = "127.0.0.1:{self._server.server_port}"
+addr = "{self.store_address(vm)}"
 """
 
 
--- a/lagoonlatch/standins/instance.py
+++ b/lagoonlatch/standins/instance.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections import Counter
 from collections.abc import Callable, Iterable
 from typing import Any
@@ -30,6 +31,8 @@
     ----------
     runs_by_request : Counter
         How often each request id has run.
+    runs : list of tuple
+        Instant on the steady clock in milliseconds, and id of each run request.
     organisations : set of str
         The organisations that were named to it.
     seen_keys : int
@@ -40,6 +43,7 @@
         self.id = instance_id
         self.address = ""
         self.runs_by_request: Counter[str] = Counter()
+        self.runs: list[tuple[Millis, str]] = []
         self.organisations: set[str] = set()
         self.seen_keys = 0
         self._work = work
@@ -47,9 +51,9 @@
         self._running = 0
         self._server: WSGIServer | None = None
 
-    def start(self, host: str = "127.0.0.1") -> None:
-        """Start listening."""
-        server = WSGIServer((host, 0), self._respond, log=None, error_log=None)
+    def start(self, host: str = "127.0.0.1", port: int = 0) -> None:
+        """Start listening, at any free port if `port` is 0."""
+        server = WSGIServer((host, port), self._respond, log=None, error_log=None)
         server.start()
         self._server = server
         self.address = f"{host}:{server.server_port}"
@@ -98,6 +102,7 @@
         start: Callable[..., Any],
     ) -> Iterable[bytes]:
         self.runs_by_request[request] += 1
+        self.runs.append((time.monotonic() * MILLIS_PER_SECOND, request))
         self.organisations.add(environ.get("HTTP_TENANT", ""))
         self.seen_keys += "HTTP_AUTHORIZATION" in environ
         body = environ["wsgi.input"].read()
--- /dev/null
+++ b/tests/soak/kinds.py
@@ -0,0 +1,244 @@
+"""The kinds of faults; each begins, lasts and ends, and notes whom it disturbs."""
+
+from __future__ import annotations
+
+import random
+import signal
+from collections.abc import Callable
+
+import gevent
+
+from lagoonlatch.clock import MILLIS_PER_SECOND, Millis
+from lagoonlatch.platform.registrations import UPSTREAM_PREFIX
+from lagoonlatch.standins.faults import ANY_GROUP, Fault, Rule, Swallow
+from tests.soak.world import DATA_CENTRES, Span, World, now
+
+STOP_GRACE: Millis = 6_000.0
+"""A VM is killed so long after SIGTERM, as its settings say."""
+
+START: Millis = 2_500.0
+"""A VM that starts is not yet in touch; others of the machine start beside it."""
+
+Play = Callable[[World, random.Random, Millis], None]
+
+KINDS_BY_NAME: dict[str, Play] = {}
+
+
+def kind(play: Play) -> Play:
+    """Register a kind of fault under its function's name."""
+    KINDS_BY_NAME[play.__name__] = play
+    return play
+
+
+class _Disturbed:
+    """Notes a span for its subjects when it ends, and for ever until then."""
+
+    def __init__(self, world: World, name: str, *subjects: str) -> None:
+        self._world = world
+        self._open = [Span(s, name, now(), float("inf")) for s in subjects]
+
+    def __enter__(self) -> None:
+        self._world.history.spans += self._open
+
+    def __exit__(self, *_exception: object) -> None:
+        for span in self._open:
+            self._world.history.spans.remove(span)
+            self._world.history.spans.append(
+                Span(span.subject, span.kind, span.start, now())
+            )
+
+
+def _sleep(duration: Millis) -> None:
+    gevent.sleep(duration / MILLIS_PER_SECOND)
+
+
+def _any_vm(world: World, rng: random.Random) -> str:
+    return rng.choice(sorted(world.vms_by_id))
+
+
+def _any_instance(world: World, rng: random.Random) -> str:
+    return rng.choice(sorted(world.instances_by_id))
+
+
+def _is_busy(world: World, subject: str) -> bool:
+    return any(s.subject == subject and s.end > now() for s in world.history.spans)
+
+
+@kind
+def vm_kill(world: World, rng: random.Random, duration: Millis) -> None:
+    """Kill a VM without notice and start it again."""
+    vm = _any_vm(world, rng)
+    if _is_busy(world, vm):
+        return
+    with _Disturbed(world, "vm_kill", vm):
+        world.signal(vm, signal.SIGKILL)
+        world.vms_by_id[vm].process.wait()
+        _sleep(duration)
+        world.restart(vm)
+        _sleep(START)
+
+
+@kind
+def vm_stop(world: World, rng: random.Random, _duration: Millis) -> None:
+    """Stop a VM as planned work does and start it again."""
+    vm = _any_vm(world, rng)
+    if _is_busy(world, vm):
+        return
+    with _Disturbed(world, "vm_stop", vm):
+        status = world.stop_in_order(vm, STOP_GRACE)
+        if status != 0:
+            world.history.problems.append(f"{vm} ended with {status} after SIGTERM")
+            world.signal(vm, signal.SIGKILL)
+            world.vms_by_id[vm].process.wait()
+        world.restart(vm)
+        _sleep(START)
+
+
+@kind
+def vm_pause(world: World, rng: random.Random, duration: Millis) -> None:
+    """Suspend a VM."""
+    vm = _any_vm(world, rng)
+    if _is_busy(world, vm):
+        return
+    with _Disturbed(world, "vm_pause", vm):
+        world.signal(vm, signal.SIGSTOP)
+        _sleep(duration)
+        world.signal(vm, signal.SIGCONT)
+
+
+@kind
+def vm_reload(world: World, rng: random.Random, _duration: Millis) -> None:
+    """Tell a VM that its settings have changed; that disturbs nothing."""
+    vm = _any_vm(world, rng)
+    if not _is_busy(world, vm):
+        world.signal(vm, signal.SIGHUP)
+
+
+def _break(world: World, group: str, fault: Fault, duration: Millis) -> None:
+    name = f"{group}-{now()}"
+    world.proxy.set_rule(name, Rule(source=ANY_GROUP, target=group, fault=fault))
+    _sleep(duration)
+    world.proxy.end_rule(name)
+
+
+def _break_store(
+    world: World, rng: random.Random, duration: Millis, name: str, fault: Fault
+) -> None:
+    vms = sorted(world.vms_by_id)
+    hit = vms if rng.random() < 0.4 else [rng.choice(vms)]
+    # Others may be told by those that are hit, so none is in touch meanwhile.
+    with _Disturbed(world, name, *vms):
+        gevent.joinall(
+            [gevent.spawn(_break, world, f"store-{v}", fault, duration) for v in hit],
+            raise_error=True,
+        )
+
+
+@kind
+def store_cut(world: World, rng: random.Random, duration: Millis) -> None:
+    """Reset one VM's or all VMs' connections to the store."""
+    _break_store(world, rng, duration, "store_cut", Fault(cut=True))
+
+
+@kind
+def store_silent(world: World, rng: random.Random, duration: Millis) -> None:
+    """Lose all bytes between the store and one VM or all."""
+    fault = Fault(swallow=Swallow.ALL)
+    _break_store(world, rng, duration, "store_silent", fault)
+
+
+@kind
+def store_slow(world: World, rng: random.Random, duration: Millis) -> None:
+    """Delay the store's answers."""
+    fault = Fault(delay=rng.uniform(50.0, 400.0))
+    _break_store(world, rng, duration, "store_slow", fault)
+
+
+@kind
+def store_busy(world: World, _rng: random.Random, duration: Millis) -> None:
+    """Let the store refuse all calls."""
+    with _Disturbed(world, "store_busy", *world.vms_by_id):
+        world.store.refuse_with = 503
+        _sleep(duration)
+        world.store.refuse_with = None
+
+
+@kind
+def store_forgets(world: World, _rng: random.Random, _duration: Millis) -> None:
+    """Let the store drop its history."""
+    with _Disturbed(world, "store_forgets", *world.vms_by_id):
+        world.store.forget_history()
+
+
+def _break_upstream(
+    world: World, rng: random.Random, duration: Millis, name: str, fault: Fault
+) -> None:
+    instance = _any_instance(world, rng)
+    with _Disturbed(world, name, instance):
+        _break(world, instance, fault, duration)
+
+
+@kind
+def upstream_cut(world: World, rng: random.Random, duration: Millis) -> None:
+    """Reset an upstream's connections and refuse new ones."""
+    _break_upstream(world, rng, duration, "upstream_cut", Fault(cut=True))
+
+
+@kind
+def upstream_silent(world: World, rng: random.Random, duration: Millis) -> None:
+    """Lose all bytes to and from an upstream, on open connections or on all."""
+    swallow = rng.choice([Swallow.EXISTING, Swallow.ALL])
+    fault = Fault(swallow=swallow)
+    _break_upstream(world, rng, duration, "upstream_silent", fault)
+
+
+@kind
+def upstream_slow(world: World, rng: random.Random, duration: Millis) -> None:
+    """Delay all bytes to and from an upstream."""
+    fault = Fault(delay=rng.uniform(20.0, 600.0))
+    _break_upstream(world, rng, duration, "upstream_slow", fault)
+
+
+@kind
+def upstream_cuts_answers(world: World, rng: random.Random, duration: Millis) -> None:
+    """Let an upstream's connections go silent in the midst of their bytes."""
+    fault = Fault(lose_after=rng.randrange(50, 3_000))
+    _break_upstream(world, rng, duration, "upstream_cuts_answers", fault)
+
+
+@kind
+def upstream_leaves(world: World, rng: random.Random, duration: Millis) -> None:
+    """Let an upstream say that it leaves, go, and come back later."""
+    name = _any_instance(world, rng)
+    if _is_busy(world, name):
+        return
+    instance = world.instances_by_id[name]
+    data_centre = world.data_centre_by_instance[name]
+    with _Disturbed(world, "upstream_leaves", name):
+        world.register(instance, data_centre, "draining")
+        _sleep(4_000.0)
+        world.store.remove(f"{UPSTREAM_PREFIX}{name}")
+        _sleep(duration)
+        world.register(instance, data_centre)
+
+
+@kind
+def keys_change(world: World, rng: random.Random, _duration: Millis) -> None:
+    """Withdraw the key and give another one, and change the rate."""
+    number = len(world.history.keys)
+    world.configure((f"key-{number}",), rate=rng.choice([40.0, 120.0, 400.0]))
+
+
+@kind
+def evacuation(world: World, rng: random.Random, duration: Millis) -> None:
+    """Evacuate a data centre for a while."""
+    data_centre = rng.choice(DATA_CENTRES)
+    key = f"op/evacuate/{data_centre}"
+    known = world.store.keys()
+    if key in known:
+        return
+    world.store.put(key, {})
+    start = now()
+    _sleep(duration + 2_000.0)
+    world.history.evacuated.append((start, now(), data_centre))
+    world.store.remove(key)
--- /dev/null
+++ b/tests/soak/oracle.py
@@ -0,0 +1,148 @@
+"""What must hold, from what callers and upstreams saw."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from lagoonlatch.clock import MILLIS_PER_SECOND, Millis
+from tests.soak.world import Asked, World
+
+SETTLE: Millis = 3_000.0
+"""A VM is in touch when it and the store were undisturbed for so long; the settings'
+bound is 2 s, and the machine is shared."""
+
+CHANGE: Millis = 3_000.0
+"""After this a change of the store counts; as for `SETTLE`."""
+
+DRAIN: Millis = 3_500.0
+"""After this an upstream that leaves gets nothing: the bound of 2.5 s and the way."""
+
+QUOTA_WINDOW: Millis = 5_000.0
+QUOTA_EXCESS = 1.1
+QUOTA_SLACK = 20.0
+"""Runs in a window: (rate x window + burst) x excess + slack, as the rules have it."""
+
+PROMISES = frozenset({408, 421, 429, 503})
+
+
+def find_problems(world: World) -> Iterator[str]:
+    """Yield a line for each promise that was broken."""
+    yield from world.history.problems
+    yield from _own_ends(world)
+    runs = {asked.id: world.runs(asked.id) for asked in world.history.asked}
+    for asked in world.history.asked:
+        if asked.problem and not _is_excused(world, asked):
+            yield f"{asked.id}: {asked.problem}"
+        if asked.is_unsafe and runs[asked.id] > 1:
+            yield f"{asked.id}: unsafe and run {runs[asked.id]} times"
+        if asked.is_unsafe and asked.status in PROMISES and runs[asked.id]:
+            yield f"{asked.id}: run, though answered {asked.status}"
+        if asked.status == 0 and not asked.problem and not _is_excused(world, asked):
+            yield f"{asked.id}: connection ended without an answer"
+        yield from _key_problems(world, asked)
+    for instance in world.instances_by_id.values():
+        if instance.seen_keys:
+            yield f"{instance.id} was shown a key"
+        if not instance.organisations <= {"dojo"}:
+            yield f"{instance.id} was told of {instance.organisations}"
+    yield from _evacuation_problems(world)
+    yield from _drain_problems(world)
+    yield from _quota_problems(world)
+
+
+def _own_ends(world: World) -> Iterator[str]:
+    for vm in world.vms_by_id.values():
+        if vm.process.poll() is not None:
+            yield f"{vm.id} ended by itself with {vm.process.returncode}"
+
+
+def _is_excused(world: World, asked: Asked) -> bool:
+    """Return whether the VM itself was disturbed while it had the request."""
+    kinds = {"vm_kill", "vm_pause"}
+    spans = [s for s in world.history.spans if s.subject == asked.vm]
+    return any(
+        span.start <= asked.ended + 50.0 and span.end >= asked.sent
+        for span in spans
+        if span.kind in kinds
+    )
+
+
+def _in_touch(world: World, asked: Asked) -> bool:
+    start = asked.sent - SETTLE
+    return not world.history.disturbed({asked.vm}, start, asked.ended)
+
+
+def _key_problems(world: World, asked: Asked) -> Iterator[str]:
+    if not _in_touch(world, asked) or not asked.status:
+        return
+    settled = [key for at, key in world.history.keys if at <= asked.sent - CHANGE]
+    later = [key for at, key in world.history.keys if at > asked.sent - CHANGE]
+    if not settled:
+        return
+    allowed = {settled[-1], *(k for at, k in world.history.keys if at <= asked.ended)}
+    withdrawn = set(settled[:-1]) - {settled[-1], *later}
+    if asked.key in withdrawn and asked.status != 401:
+        yield f"{asked.id}: {asked.status} with the withdrawn {asked.key}"
+    if asked.key == settled[-1] and not later and asked.status == 401:
+        yield f"{asked.id}: 401 with the valid {asked.key}"
+    if asked.status in (400, 403, 404) and asked.key in allowed:
+        yield f"{asked.id}: proper and answered {asked.status}"
+
+
+def _runs(world: World) -> Iterator[tuple[Millis, str, str]]:
+    for instance in world.instances_by_id.values():
+        for at, request in instance.runs:
+            yield at, request, instance.id
+
+
+def _evacuation_problems(world: World) -> Iterator[str]:
+    asked_by_id = {asked.id: asked for asked in world.history.asked}
+    for at, request, instance in _runs(world):
+        asked = asked_by_id.get(request)
+        if asked is None or not _in_touch(world, asked):
+            continue
+        for start, end, data_centre in world.history.evacuated:
+            inside = world.data_centre_by_instance[instance] == data_centre
+            if inside and start + CHANGE < at < end:
+                yield f"{request}: ran in the evacuated {data_centre}"
+
+
+def _drain_problems(world: World) -> Iterator[str]:
+    asked_by_id = {asked.id: asked for asked in world.history.asked}
+    leaving = [s for s in world.history.spans if s.kind == "upstream_leaves"]
+    for at, request, instance in _runs(world):
+        asked = asked_by_id.get(request)
+        if asked is None or not _in_touch(world, asked):
+            continue
+        for span in leaving:
+            if span.subject == instance and span.start + DRAIN < at < span.end:
+                yield f"{request}: reached {instance}, which had left"
+
+
+def _quota_problems(world: World) -> Iterator[str]:
+    times = sorted(at for at, _, _ in _runs(world))
+    for index, start in enumerate(times):
+        end = start + QUOTA_WINDOW
+        # A lower rate binds one window after it counts.
+        rate = max(
+            [r for at, r in world.history.rates if at <= start - CHANGE - QUOTA_WINDOW][
+                -1:
+            ]
+            + [
+                r
+                for at, r in world.history.rates
+                if start - CHANGE - QUOTA_WINDOW < at <= end
+            ]
+        )
+        allowed = rate * QUOTA_WINDOW / MILLIS_PER_SECOND + rate
+        count = _count_until(times, index, end)
+        if count > allowed * QUOTA_EXCESS + QUOTA_SLACK:
+            yield f"{count} runs in a window at a rate of {rate}"
+            return
+
+
+def _count_until(times: list[Millis], first: int, end: Millis) -> int:
+    count = 0
+    while first + count < len(times) and times[first + count] < end:
+        count += 1
+    return count
--- /dev/null
+++ b/tests/soak/planted.py
@@ -0,0 +1,108 @@
+"""Known faults put into the program, to show that the soak finds them.
+
+``python -m tests.soak.planted NAME`` runs an entry VM with one of them.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+
+from lagoonlatch.cli import run
+
+PLANTS_BY_NAME: dict[str, Callable[[], None]] = {}
+
+
+def plant(change: Callable[[], None]) -> Callable[[], None]:
+    """Register a change of the program under its function's name."""
+    PLANTS_BY_NAME[change.__name__] = change
+    return change
+
+
+@plant
+def allowance_held_twice() -> None:
+    """Let every VM hold the whole of each allowance."""
+    from lagoonlatch.steering.holders import Holders, Part
+
+    Holders.part = lambda self, organisation: Part(1.0, True)
+
+
+@plant
+def unsafe_repeated() -> None:
+    """Repeat requests of any kind after a reset."""
+    from lagoonlatch.steering.model import Route
+
+    Route.is_idempotent = property(lambda self: True)
+
+
+@plant
+def stale_configuration() -> None:
+    """Miss changes of the configuration after the first."""
+    from lagoonlatch.entry.facts import Facts
+
+    write = Facts._write_rules
+
+    def write_once(self, value):
+        if self.rules is None:
+            write(self, value)
+
+    Facts._write_rules = write_once
+
+
+@plant
+def false_promise() -> None:
+    """Say that a request has not run though it may have."""
+    from lagoonlatch.entry.handling import RequestHandler
+
+    give_up = RequestHandler._give_up
+
+    def promise(self, journey, reason, *wait):
+        journey.may_have_run = False
+        journey.failed_answer = None
+        return give_up(self, journey, reason, *wait)
+
+    RequestHandler._give_up = promise
+
+
+@plant
+def evacuation_ignored() -> None:
+    """Go on sending to evacuated data centres."""
+    from lagoonlatch.steering.upstreams import Fleet
+
+    Fleet.evacuate = lambda self, data_centres: None
+
+
+@plant
+def cut_at_stop() -> None:
+    """End at SIGTERM without answering what was taken."""
+    from lagoonlatch.entry.process import EntryProcess
+
+    EntryProcess._leave = lambda self: None
+
+
+@plant
+def draining_used() -> None:
+    """Go on using upstreams that say that they leave."""
+    from dataclasses import replace
+
+    from lagoonlatch.entry import facts
+
+    decode = facts.decode_upstream
+    facts.decode_upstream = lambda key, value: decode(key, value).map(
+        lambda record: replace(record, is_draining=False)
+    )
+    facts.Facts._drop_upstream = lambda self, upstream_id: None
+
+
+@plant
+def late_answers_passed() -> None:
+    """Take any answer on a kept connection for that of the request."""
+    from lagoonlatch.entry.exchange import UpstreamConnection
+
+    UpstreamConnection.is_quiet = lambda self: True
+    UpstreamConnection.is_expired = lambda self: False
+
+
+if __name__ == "__main__":
+    PLANTS_BY_NAME[sys.argv[1]]()
+    sys.exit(run(["entry"]))
--- /dev/null
+++ b/tests/soak/run.py
@@ -0,0 +1,106 @@
+"""One seeded run: faults in series and overlapping, then peace, then the oracle."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+import gevent
+
+from lagoonlatch.clock import MILLIS_PER_SECOND, Millis
+from lagoonlatch.standins.entry_fleet import ask
+from tests.soak.kinds import KINDS_BY_NAME
+from tests.soak.oracle import find_problems
+from tests.soak.world import Caller, World, now
+
+CALLERS_BY_VM = 4
+
+LANES = 2
+"""Faults that may overlap; within a lane one follows the other."""
+
+RECOVERY: Millis = 6_000.0
+"""After the last fault everything is served again within this."""
+
+
+@dataclass(frozen=True)
+class Verdict:
+    """What came of a run."""
+
+    seed: int
+    kinds: tuple[str, ...]
+    requests: int
+    served: int
+    problems: tuple[str, ...]
+
+
+def play(
+    seed: int,
+    duration: Millis = 15_000.0,
+    vms: int = 4,
+    instances: int = 6,
+    planted: str = "",
+    kinds: tuple[str, ...] = (),
+) -> Verdict:
+    """Play the run that `seed` names.
+
+    Parameters
+    ----------
+    planted : str
+        Name of a known fault of the program that is put into it; see `planted`.
+    kinds : tuple of str
+        Kinds of faults to choose from; empty for all.
+    """
+    rng = random.Random(seed)
+    names = sorted(kinds or KINDS_BY_NAME)
+    played: list[str] = []
+    with World(vms, instances, planted) as world:
+        end = now() + duration
+        callers = [
+            gevent.spawn(
+                Caller(world, vm, number, random.Random(rng.random())).run,
+                end + RECOVERY,
+            )
+            for vm in sorted(world.vms_by_id)
+            for number in range(CALLERS_BY_VM)
+        ]
+        lanes = [
+            gevent.spawn(_play_lane, world, random.Random(rng.random()), names, end)
+            for _ in range(LANES)
+        ]
+        for lane in gevent.joinall(lanes, raise_error=True):
+            played += lane.value
+        gevent.joinall(callers, raise_error=True)
+        problems = [*find_problems(world), *_unserved(world)]
+        asked = world.history.asked
+        return Verdict(
+            seed=seed,
+            kinds=tuple(played),
+            requests=len(asked),
+            served=sum(one.status == 200 for one in asked),
+            problems=tuple(problems),
+        )
+
+
+def _play_lane(
+    world: World, rng: random.Random, names: list[str], end: Millis
+) -> list[str]:
+    played = []
+    gevent.sleep(rng.uniform(0.5, 1.5))
+    while now() < end:
+        name = rng.choice(names)
+        played.append(name)
+        KINDS_BY_NAME[name](world, rng, rng.uniform(300.0, 3_500.0))
+        gevent.sleep(rng.uniform(0.0, 1_500.0) / MILLIS_PER_SECOND)
+    return played
+
+
+def _unserved(world: World) -> list[str]:
+    """Return the VMs that don't serve after all faults have ended."""
+    key = world.history.keys[-1][1]
+    found = []
+    for vm in world.vms_by_id.values():
+        fields = {"Authorization": f"Token {key}"}
+        statuses = [ask(vm, f"end-{vm.id}-{n}", **fields) for n in range(5)]
+        if not set(statuses) <= {200, 429}:
+            found.append(f"{vm.id} answers {statuses} after the last fault")
+    return found
--- /dev/null
+++ b/tests/soak/world.py
@@ -0,0 +1,237 @@
+"""Entry VMs behind a fault proxy, and callers that keep their connections."""
+
+from __future__ import annotations
+
+import random
+import signal
+import sys
+import time
+from dataclasses import dataclass, field
+
+import gevent
+from gevent import socket
+
+from lagoonlatch.clock import MILLIS_PER_SECOND, Millis
+from lagoonlatch.standins.entry_fleet import HOST, EntryFleet
+from lagoonlatch.standins.faults import FaultProxy, Forward
+from lagoonlatch.standins.instance import InstanceStandin
+
+DEADLINE: Millis = 2_500.0
+"""How long a caller waits; the route's timeout is longer."""
+
+ANSWER_MARGIN: Millis = 1_000.0
+"""How much later than the deadline a final answer may come on a busy machine."""
+
+PAUSE: Millis = 40.0
+"""Between two requests of a caller, on average."""
+
+DATA_CENTRES = ("n-a", "n-b", "s-a")
+
+
+def now() -> Millis:
+    """Return the steady clock of the oracle."""
+    return time.monotonic() * MILLIS_PER_SECOND
+
+
+@dataclass
+class Asked:
+    """One request as its caller saw it; status 0: the connection ended."""
+
+    id: str
+    vm: str
+    key: str
+    is_unsafe: bool
+    sent: Millis
+    ended: Millis = 0.0
+    status: int = 0
+    problem: str = ""
+
+
+@dataclass(frozen=True)
+class Span:
+    """A time in which something was disturbed; `subject` is a VM or an upstream."""
+
+    subject: str
+    kind: str
+    start: Millis
+    end: Millis
+
+
+@dataclass
+class History:
+    """All that happened, for the oracle."""
+
+    asked: list[Asked] = field(default_factory=list)
+    spans: list[Span] = field(default_factory=list)
+    problems: list[str] = field(default_factory=list)
+    keys: list[tuple[Millis, str]] = field(default_factory=list)
+    rates: list[tuple[Millis, float]] = field(default_factory=list)
+    evacuated: list[tuple[Millis, Millis, str]] = field(default_factory=list)
+
+    def disturbed(self, subjects: set[str], start: Millis, end: Millis) -> bool:
+        """Return whether any of `subjects` was disturbed between two instants."""
+        return any(
+            span.subject in subjects and span.start <= end and span.end >= start
+            for span in self.spans
+        )
+
+
+class World(EntryFleet):
+    """Real entry VMs whose ways to the store and upstreams can be broken."""
+
+    def __init__(self, vms: int, instances: int, planted: str = "") -> None:
+        super().__init__(vms=vms, instances=instances)
+        if planted:
+            self.command = [sys.executable, "-m", "tests.soak.planted", planted]
+        self.proxy = FaultProxy()
+        self.history = History()
+        self.data_centre_by_instance: dict[str, str] = {}
+        self._addresses: dict[str, str] = {}
+
+    def configure(self, keys=("key-0",), rate: float = 400.0, timeout_s: float = 4.0):
+        """Write a configuration and remember when the store had it."""
+        version = super().configure(keys, rate, timeout_s)
+        self.history.keys.append((now(), keys[0]))
+        self.history.rates.append((now(), rate))
+        return version
+
+    def register(
+        self, instance: InstanceStandin, data_centre: str, state: str = "ready"
+    ) -> None:
+        """Write an upstream's entry, reached through the proxy."""
+        self.data_centre_by_instance[instance.id] = data_centre
+        super().register(instance, data_centre, state)
+
+    def upstream_address(self, instance: InstanceStandin) -> str:
+        """Return the proxy's address of an upstream."""
+        return self._forward(instance.id, instance.address)
+
+    def store_address(self, vm: str) -> str:
+        """Return the proxy's address of the store for one VM."""
+        return self._forward(f"store-{vm}", super().store_address(vm))
+
+    def restart(self, vm: str) -> None:
+        """Start a VM again after its end."""
+        self.start_vm(vm, self.vms_by_id[vm].data_centre, first=False)
+
+    def stop_in_order(self, vm: str, patience: Millis) -> int | None:
+        """Send SIGTERM and return the exit status, None if it doesn't end in time."""
+        self.signal(vm, signal.SIGTERM)
+        end = now() + patience
+        while now() < end:
+            status = self.vms_by_id[vm].process.poll()
+            if status is not None:
+                return status
+            gevent.sleep(0.02)
+        return None
+
+    def _forward(self, name: str, target: str) -> str:
+        if name not in self._addresses:
+            (port,) = self._ports.take(1)
+            self._addresses[name] = f"127.0.0.1:{port}"
+            forward = Forward(listen=self._addresses[name], target=target, group=name)
+            self.proxy.set_forward(name, forward)
+        return self._addresses[name]
+
+
+class Caller:
+    """Sends one request after another to a VM on a connection that it keeps."""
+
+    def __init__(self, world: World, vm: str, number: int, rng: random.Random) -> None:
+        self._world = world
+        self._vm = vm
+        self._number = number
+        self._rng = rng
+        self._count = 0
+        self._sock: socket.socket | None = None
+        self._read = b""
+
+    def run(self, until: Millis) -> None:
+        """Send requests until an instant."""
+        while now() < until:
+            self._ask()
+            pause = self._rng.expovariate(1.0) * PAUSE
+            gevent.sleep(pause / MILLIS_PER_SECOND)
+
+    def _ask(self) -> None:
+        asked = self._next()
+        try:
+            if self._sock is None:
+                port = self._world.vms_by_id[self._vm].caller_port
+                self._sock = socket.create_connection(("127.0.0.1", port), timeout=1.0)
+                self._read = b""
+        except OSError:
+            gevent.sleep(0.05)
+            return
+        self._world.history.asked.append(asked)
+        self._sock.settimeout((DEADLINE + ANSWER_MARGIN) / MILLIS_PER_SECOND)
+        asked.sent = now()
+        try:
+            self._sock.sendall(self._encode(asked))
+            self._take_answer(asked)
+        except TimeoutError:
+            asked.problem = "no final answer in time"
+            self._close()
+        except OSError:
+            self._close()
+        asked.ended = now()
+
+    def _next(self) -> Asked:
+        self._count += 1
+        return Asked(
+            id=f"{self._vm}.{self._number}.{self._count}",
+            vm=self._vm,
+            key=self._rng.choice([key for _, key in self._world.history.keys[-2:]]),
+            is_unsafe=self._rng.random() < 0.4,
+            sent=now(),
+        )
+
+    def _encode(self, asked: Asked) -> bytes:
+        method, path = ("POST", "/book/") if asked.is_unsafe else ("GET", "/look/")
+        body = asked.id.encode() if asked.is_unsafe else b""
+        return (
+            f"{method} {path}{asked.id} HTTP/1.1\r\nHost: {HOST}\r\n"
+            f"Request-Id: {asked.id}\r\nDeadline-Ms: {int(DEADLINE)}\r\n"
+            f"Authorization: Token {asked.key}\r\n"
+            f"Cookie: Affinity-Key={self._rng.randrange(30)}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        ).encode() + body
+
+    def _take_answer(self, asked: Asked) -> None:
+        head, headers = self._read_head()
+        asked.status = int(head.split()[1])
+        length = int(headers.get("content-length", "0"))
+        body = self._read_bytes(length)
+        if asked.status == 200:
+            path = asked.id if asked.is_unsafe else f"/look/{asked.id}"
+            if body != path.encode() or headers.get("request-id") != asked.id:
+                asked.problem = f"another answer: {headers} {body[:80]!r}"
+            elif "server-stamp" not in headers:
+                asked.problem = "success without the upstream's stamp"
+        if headers.get("connection", "").lower() == "close":
+            self._close()
+
+    def _read_head(self) -> tuple[str, dict[str, str]]:
+        while b"\r\n\r\n" not in self._read:
+            self._receive()
+        head, _, self._read = self._read.partition(b"\r\n\r\n")
+        first, *lines = head.decode("latin-1").split("\r\n")
+        pairs = (line.partition(":") for line in lines)
+        return first, {name.lower(): value.strip() for name, _, value in pairs}
+
+    def _read_bytes(self, count: int) -> bytes:
+        while len(self._read) < count:
+            self._receive()
+        data, self._read = self._read[:count], self._read[count:]
+        return data
+
+    def _receive(self) -> None:
+        data = self._sock.recv(65_536)
+        if not data:
+            raise ConnectionResetError("closed")
+        self._read += data
+
+    def _close(self) -> None:
+        if self._sock is not None:
+            self._sock.close()
+        self._sock = None
