Holders borrow for the VMs that ask them; leaving VMs close their door at once

Now parts are kept until the roster changes, as many tokens are asked for as wait, one holder after the other, and a holder borrows ahead what VMs without a part ask of it.

Now the queue is answered and the door closed at once.

--- a/lagoonlatch/entry/facts.py
+++ b/lagoonlatch/entry/facts.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from returns.result import Failure, Success
 
@@ -66,6 +66,7 @@
         self._clock = clock
         self._evacuated: set[str] = set()
         self._on_rules: list[Callable[[TrafficRules], None]] = []
+        self._on_roster: list[Callable[[Mapping[str, str]], None]] = []
         self._on_upstream_gone: list[Callable[[str], None]] = []
         self._has_read = False
         self._entry_by_key: dict[str, Entry] = {}
@@ -76,6 +77,10 @@
         """Call `listener` with each new configuration."""
         self._on_rules.append(listener)
 
+    def on_roster(self, listener: Callable[[Mapping[str, str]], None]) -> None:
+        """Call `listener` with the data centres of the roster's VMs when it changes."""
+        self._on_roster.append(listener)
+
     def on_upstream_gone(self, listener: Callable[[str], None]) -> None:
         """Call `listener` with the id of each upstream that is gone."""
         self._on_upstream_gone.append(listener)
@@ -135,6 +140,7 @@
             self._write_vm(key, value)
         elif key.startswith(ROSTER_PREFIX):
             self.roster[key.removeprefix(ROSTER_PREFIX)] = decode_roster(value)
+            self._tell_roster()
 
     def _remove(self, key: str) -> None:
         self._entry_by_key.pop(key, None)
@@ -152,6 +158,11 @@
                 emit(VmGone(subject=vm))
         elif key.startswith(ROSTER_PREFIX):
             self.roster.pop(key.removeprefix(ROSTER_PREFIX), None)
+            self._tell_roster()
+
+    def _tell_roster(self) -> None:
+        for listener in self._on_roster:
+            listener(self.roster)
 
     def _write_rules(self, value: bytes) -> None:
         decoded = decode_configuration(value)
--- a/lagoonlatch/entry/peer.thrift
+++ b/lagoonlatch/entry/peer.thrift
@@ -46,6 +46,8 @@
   2: i64 number,
   3: string organisation,
   4: i32 tokens,
+  // The asker holds no part of the allowance.
+  5: bool for_callers,
 }
 
 // Answers an Ask: these tokens are the asker's now.
--- a/lagoonlatch/entry/peers.py
+++ b/lagoonlatch/entry/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
 
 import gevent
@@ -41,6 +42,9 @@
 MAX_DATAGRAM = 8_192
 """Largest datagram that is read; what VMs tell stays far below."""
 
+ASKED_MOST = 6
+"""Holders that one request asks: those of its region and some others."""
+
 SPARE_TOLD = 16
 """Organisations whose spare tokens one tell names; a datagram stays small with any
 number of them, and a dozen tells a second name all."""
@@ -99,6 +103,7 @@
         self._address_by_vm: dict[str, tuple[str, int]] = {}
         self._pending_by_organisation: dict[str, AsyncResult] = {}
         self._organisation_by_number: dict[int, str] = {}
+        self._waiting_by_organisation: Counter[str] = Counter()
 
     def listen(self) -> None:
         """Take the VM's port."""
@@ -162,23 +167,39 @@
                 self._ask(organisation)
 
     def borrow(self, organisation: str) -> bool:
-        """Wait for a loan; return False at once if nobody has anything to lend."""
-        pending = self._ask(organisation)
-        if pending is None:
-            return False
+        """Wait for loans; return whether one was given.
+
+        A VM that holds no part of the allowance asks one holder after the other, those
+        of its region first.
+        """
+        self._waiting_by_organisation[organisation] += 1
         try:
-            return bool(pending.get(timeout=LOAN_PATIENCE / MILLIS_PER_SECOND))
+            end = self._clock.now() + LOAN_PATIENCE
+            tried: set[str] = set()
+            while self._clock.now() < end:
+                pending = self._ask(organisation, tried)
+                if pending is None:
+                    return False
+                left = (end - self._clock.now()) / MILLIS_PER_SECOND
+                if pending.get(timeout=max(left, 0.0)):
+                    return True
+            return False
         except gevent.Timeout:
             return False
+        finally:
+            self._waiting_by_organisation[organisation] -= 1
 
-    def _ask(self, organisation: str) -> AsyncResult | None:
+    def _ask(
+        self, organisation: str, tried: set[str] | None = None
+    ) -> AsyncResult | None:
         pending = self._pending_by_organisation.get(organisation)
         if pending is not None:
             return pending
-        wanted = self._allowances.wanted(organisation)
+        waiting = self._waiting_by_organisation[organisation]
+        wanted = self._allowances.wanted(organisation, waiting)
         if not wanted:
             return None
-        lender = self._find_lender(organisation, wanted)
+        lender = self._find_lender(organisation, wanted, tried)
         address = self._address_by_vm.get(lender or "")
         if lender is None or address is None:
             return None
@@ -187,21 +208,31 @@
         pending = AsyncResult()
         self._pending_by_organisation[organisation] = pending
         self._organisation_by_number[number] = organisation
-        ask = Ask(self._me.id, number, organisation, wanted)
+        is_held = self._holders.part(organisation).is_held
+        ask = Ask(self._me.id, number, organisation, wanted, not is_held)
         self._send(Datagram(ask=ask), address)
         gevent.spawn_later(
             LOAN_PATIENCE / MILLIS_PER_SECOND, self._finish_ask, number, 0
         )
         return pending
 
-    def _find_lender(self, organisation: str, wanted: int) -> str | None:
+    def _find_lender(
+        self, organisation: str, wanted: int, tried: set[str] | None
+    ) -> str | None:
         near = self._holders.near(organisation)
         lender = self._table.best_lender(organisation, wanted, near)
-        if lender is not None or self._holders.part(organisation).is_held:
+        if lender is not None and lender not in (tried or ()):
+            if tried is not None:
+                tried.add(lender)
             return lender
-        # A holder may have got some since it told; it is the only one to ask.
-        heard = [vm for vm in near if self._table.is_heard(vm)]
-        return random.choice(heard) if heard else None
+        if tried is None or self._holders.part(organisation).is_held:
+            return None
+        # A holder may have got some since it told.
+        for holder in self._holders.others(organisation)[:ASKED_MOST]:
+            if holder not in tried and self._table.is_heard(holder):
+                tried.add(holder)
+                return holder
+        return None
 
     def _finish_ask(self, number: int, tokens: int) -> None:
         organisation = self._organisation_by_number.pop(number, None)
@@ -218,7 +249,9 @@
             self._table.hear(_to_telling(datagram.tell))
         elif datagram.ask is not None:
             ask = datagram.ask
-            lent = self._allowances.lend(ask.organisation, ask.tokens)
+            lent = self._allowances.lend(
+                ask.organisation, ask.tokens, bool(ask.for_callers)
+            )
             loan = Loan(ask.number, ask.organisation, lent)
             self._send(Datagram(loan=loan), address)
         elif datagram.loan is not None:
--- a/lagoonlatch/entry/process.py
+++ b/lagoonlatch/entry/process.py
@@ -4,6 +4,7 @@
 
 import signal
 import sys
+from collections.abc import Mapping
 from dataclasses import replace
 
 import gevent
@@ -171,7 +172,7 @@
             self._store, self._me, OutageMeter(hold, clock), clock
         )
         self._cold_ramp = ColdRamp(settings.vm, lambda: self._facts.vms_by_id, clock)
-        self._holders = Holders(settings.vm, settings.region, self._region_by_vm)
+        self._holders = Holders(settings.vm, settings.region)
         self._allowances = Allowances(
             self._holders.part, settings.is_first_start, clock
         )
@@ -244,6 +245,7 @@
         )
         self._add_gauges()
         self._facts.on_rules(self._follow_rules)
+        self._facts.on_roster(self._follow_roster)
         self._facts.on_upstream_gone(self._pool.drop)
 
     def _add_gauges(self) -> None:
@@ -342,12 +344,12 @@
         addresses = map(self._peers.address_of, self._peer_table.ahead_of(revision))
         return [address for address in addresses if address is not None]
 
-    def _region_by_vm(self) -> dict[str, str]:
+    def _follow_roster(self, data_centre_by_vm: Mapping[str, str]) -> None:
         region_of = self._settings.region_by_data_centre.get
-        return {
-            vm: region_of(data_centre, "")
-            for vm, data_centre in self._facts.roster.items()
-        }
+        self._holders.set_vms(
+            {vm: region_of(where, "") for vm, where in data_centre_by_vm.items()}
+        )
+        self._allowances.follow_parts()
 
     def _count_vms(self) -> int:
         return len({*self._facts.roster, self._me.id})
@@ -384,7 +386,7 @@
         gevent.spawn(self._registration.leave)
         gevent.sleep(LINGER / MILLIS_PER_SECOND)
         self._handler.close()
-        self._server.stop_accepting()
+        self._stop_listening()
         end = started + self._settings.bounds.stop_grace - END_MARGIN
         while self._clock.now() < end:
             for connection in list(self._connections):
@@ -395,6 +397,14 @@
         after = round(self._clock.now() - started)
         emit(Stopped(connections=len(self._connections), after_ms=after))
 
+    def _stop_listening(self) -> None:
+        """Refuse new connections at once; callers then go elsewhere."""
+        self._server.stop_accepting()
+        # Those in the queue would otherwise wait for the end of the process.
+        while (accepted := self._server.do_read()) is not None:
+            self._server.do_handle(*accepted)
+        self._server.close()
+
     def _spawn(self, task) -> None:
         """Run a task that lasts as long as the process."""
         greenlet = gevent.spawn(task)
--- a/lagoonlatch/standins/faults.py
+++ b/lagoonlatch/standins/faults.py
@@ -146,6 +146,12 @@
         self._rules_by_name.pop(name, None)
         self._shape_all()
 
+    def stop(self) -> None:
+        """Stop all forwards."""
+        for relay in self._relays_by_name.values():
+            relay.stop()
+        self._relays_by_name.clear()
+
     def state(self) -> dict[str, dict[str, int]]:
         """Return open and accepted connections by forward name."""
         return {
--- a/lagoonlatch/steering/allowances.py
+++ b/lagoonlatch/steering/allowances.py
@@ -50,6 +50,8 @@
         self.filled = now
         self.demand = 0.0
         """Requests a second that callers ask for here."""
+        self.lent = 0.0
+        """Tokens a second that VMs without a part ask for here."""
         self.measured = now
         self.asked = now
 
@@ -58,14 +60,24 @@
         self.asked = now
         self.demand += MILLIS_PER_SECOND / DEMAND_MEMORY
 
+    def note_lent(self, now: Millis, tokens: int) -> None:
+        self.fade_demand(now)
+        self.lent += tokens * MILLIS_PER_SECOND / DEMAND_MEMORY
+
     def fade_demand(self, now: Millis) -> None:
-        self.demand *= math.exp(-(now - self.measured) / DEMAND_MEMORY)
+        faded = math.exp(-(now - self.measured) / DEMAND_MEMORY)
+        self.demand *= faded
+        self.lent *= faded
         self.measured = now
 
     def lasting(self, duration: Millis) -> float:
         """Return the tokens that last `duration` at the demand."""
         return self.demand * duration / MILLIS_PER_SECOND
 
+    def lasting_all(self, duration: Millis) -> float:
+        """Return the tokens that last `duration` with what others ask for."""
+        return (self.demand + self.lent) * duration / MILLIS_PER_SECOND
+
 
 class Allowances:
     """Parts of all allowances, as one VM holds them.
@@ -102,6 +114,11 @@
             buckets[organisation.id] = bucket
         self._buckets_by_id = buckets
 
+    def follow_parts(self) -> None:
+        """Keep no more than this VM's parts, which have changed."""
+        for bucket in self._buckets_by_id.values():
+            bucket.level = min(bucket.level, self._depth(bucket.organisation))
+
     def take(self, organisation: str) -> Millis | None:
         """Take one request's token; return when to come back if there is none."""
         bucket = self._buckets_by_id.get(organisation)
@@ -138,12 +155,21 @@
                 spare_by_id[name] = spare
         return spare_by_id
 
-    def lend(self, organisation: str, wanted: int) -> int:
-        """Take off up to `wanted` tokens for another VM and return how many."""
+    def lend(self, organisation: str, wanted: int, for_callers: bool = False) -> int:
+        """Take off up to `wanted` tokens for another VM and return how many.
+
+        Parameters
+        ----------
+        for_callers : bool
+            Whether the other VM holds no part, so that its callers' demand is to be
+            met from here.
+        """
         bucket = self._buckets_by_id.get(organisation)
         if bucket is None or wanted <= 0:
             return 0
         self._fill(bucket)
+        if for_callers:
+            bucket.note_lent(self._clock.now(), wanted)
         lent = min(self._spare(bucket), wanted)
         bucket.level -= lent
         return lent
@@ -163,17 +189,25 @@
                 wanted_by_id[name] = wanted
         return wanted_by_id
 
-    def wanted(self, organisation: str) -> int:
-        """Return the tokens to borrow now; 0 if there are enough."""
+    def wanted(self, organisation: str, waiting: int = 0) -> int:
+        """Return the tokens to borrow now; 0 if there are enough.
+
+        Parameters
+        ----------
+        waiting : int
+            Requests that wait for a token.
+        """
         bucket = self._buckets_by_id.get(organisation)
         if bucket is None:
             return 0
         self._fill(bucket)
-        if bucket.level >= max(bucket.lasting(LOW_MARK), 1.0):
+        bucket.fade_demand(self._clock.now())
+        if bucket.level >= max(bucket.lasting_all(LOW_MARK), waiting, 1.0):
             return 0
-        if bucket.demand < QUIET:
+        if bucket.demand + bucket.lent < QUIET:
             return 0
-        return max(math.ceil(bucket.lasting(BORROWED) - bucket.level), 1)
+        enough = max(bucket.lasting_all(BORROWED), waiting)
+        return max(math.ceil(enough - bucket.level), 1)
 
     def _spend(self, bucket: _Bucket) -> Millis | None:
         if bucket.level >= 1.0:
--- a/lagoonlatch/steering/holders.py
+++ b/lagoonlatch/steering/holders.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from lagoonlatch.membership.rendezvous import ranked
@@ -47,43 +47,47 @@
         This VM.
     region : str
         This VM's region.
-    region_by_vm : callable
-        Returns the regions of all VMs that share what is divided, by id.
     """
 
-    def __init__(
-        self, me: str, region: str, region_by_vm: Callable[[], Mapping[str, str]]
-    ) -> None:
+    def __init__(self, me: str, region: str) -> None:
         self._me = me
         self._region = region
-        self._list_regions = region_by_vm
-        self._region_by_vm: dict[str, str] = {}
+        self._region_by_vm: dict[str, str] = {me: region}
         self._holders_by_organisation: dict[str, tuple[str, ...]] = {}
+        self._part_by_organisation: dict[str, Part] = {}
+
+    def set_vms(self, region_by_vm: Mapping[str, str]) -> None:
+        """Follow the regions of all VMs that share what is divided, by id."""
+        self._region_by_vm = {**region_by_vm, self._me: self._region}
+        self._holders_by_organisation = {}
+        self._part_by_organisation = {}
 
     def of(self, organisation: str) -> tuple[str, ...]:
         """Return the ids of the VMs that hold its allowance."""
-        region_by_vm = {**self._list_regions(), self._me: self._region}
-        if region_by_vm != self._region_by_vm:
-            self._region_by_vm = region_by_vm
-            self._holders_by_organisation = {}
         found = self._holders_by_organisation.get(organisation)
         if found is None:
             found = self._choose(organisation)
             self._holders_by_organisation[organisation] = found
         return found
 
+    def others(self, organisation: str) -> list[str]:
+        """Return the other holders, those in this VM's region first."""
+        others = [vm for vm in self.of(organisation) if vm != self._me]
+        return sorted(others, key=lambda vm: self._region_by_vm[vm] != self._region)
+
     def near(self, organisation: str) -> list[str]:
-        """Return those in this VM's region, without this VM."""
-        return [
-            vm
-            for vm in self.of(organisation)
-            if vm != self._me and self._region_by_vm[vm] == self._region
-        ]
+        """Return the other holders in this VM's region."""
+        others = self.others(organisation)
+        return [vm for vm in others if self._region_by_vm[vm] == self._region]
 
     def part(self, organisation: str) -> Part:
         """Return what this VM holds."""
-        holders = self.of(organisation)
-        return Part(1.0 / len(holders), self._me in holders)
+        found = self._part_by_organisation.get(organisation)
+        if found is None:
+            holders = self.of(organisation)
+            found = Part(1.0 / len(holders), self._me in holders)
+            self._part_by_organisation[organisation] = found
+        return found
 
     def _choose(self, organisation: str) -> tuple[str, ...]:
         vms_by_region: dict[str, list[str]] = defaultdict(list)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -88,6 +88,11 @@
         self.data_centre_by_instance: dict[str, str] = {}
         self._addresses: dict[str, str] = {}
 
+    def __exit__(self, *exception: object) -> None:
+        """End the VMs, then the proxy before they give their ports to others."""
+        self.proxy.stop()
+        super().__exit__(*exception)
+
     def configure(self, keys=("key-0",), rate: float = 400.0, timeout_s: float = 4.0):
         """Write a configuration and remember when the store had it."""
         version = super().configure(keys, rate, timeout_s)
--- a/tests/steering/test_allowances.py
+++ b/tests/steering/test_allowances.py
@@ -168,3 +168,24 @@
     assert vm.take("dojo") is None
     clock.advance(IDLE + 1.0)
     assert vm.take("dojo") is not None
+
+
+def test_a_holder_borrows_for_vms_without_a_part_that_ask_it():
+    """Load: all callers of an organisation ask VMs of one region."""
+    clock = ManualClock()
+    near, far = make_vms(2, clock, rate=100.0, burst=100.0)
+    for _ in range(40):
+        clock.advance(20.0)
+        near.receive("dojo", far.lend("dojo", near.wanted("dojo")))
+        assert near.lend("dojo", 1, for_callers=True) == 1
+    # What holders lend each other is no demand of callers.
+    assert far.wanted("dojo") == 0
+
+
+def test_as_many_are_borrowed_as_wait():
+    clock = ManualClock()
+    vm = Allowances(lambda organisation: Part(0.25, False), True, clock)
+    vm.configure({"dojo": make_organisation(rate=10.0, burst=10.0)})
+    for _ in range(5):
+        vm.take("dojo")
+    assert vm.wanted("dojo", waiting=5) == 5
