Count the end of an outage once for all calls of a VM

A VM that was cut off for 12 s held the upstreams that had left meanwhile 2.3 s from the end of the outage as its renewals saw it, up to 2 s after its reading had. Ruled out: the reading (whole at 13.1 s) and news from others. Failures of calls sent before the last answer are now no outage. The test fails before and passes after.

--- a/lagoonlatch/entry/outage.py
+++ b/lagoonlatch/entry/outage.py
@@ -11,7 +11,7 @@
 
 
 class OutageMeter:
-    """Watches the outcomes of calls of one kind.
+    """Watches the outcomes of all calls of this VM.
 
     Parameters
     ----------
@@ -23,15 +23,20 @@
         self._note_outage = note_outage
         self._clock = clock
         self._since: Millis | None = None
+        self._answered: Millis = 0.0
 
     def note_failure(self, sent: Millis) -> None:
         """Count a call, sent at the instant `sent`, that failed."""
+        if sent < self._answered:
+            # It hung in an outage that another call has seen the end of.
+            return
         if self._since is None:
             self._since = sent
         self._note_if_long()
 
     def note_success(self) -> None:
         """Count a call that was answered."""
+        self._answered = self._clock.now()
         if self._since is not None:
             self._note_if_long()
             self._since = None
--- a/lagoonlatch/entry/process.py
+++ b/lagoonlatch/entry/process.py
@@ -156,7 +156,7 @@
         )
         self._facts = Facts(self._fleet, clock)
         self._reading = StoreReading(self._facts, clock)
-        hold = self._facts.hold_lapsed
+        outage = OutageMeter(self._facts.hold_lapsed, clock)
         self._sync = StoreSync(
             self._store,
             self._reading,
@@ -164,13 +164,11 @@
             self._should_watch,
             self._next_wait,
             lambda batch: self._peers.pass_on(batch),
-            OutageMeter(hold, clock),
+            outage,
             clock,
             starts_first=settings.is_first_start,
         )
-        self._registration = Registration(
-            self._store, self._me, OutageMeter(hold, clock), clock
-        )
+        self._registration = Registration(self._store, self._me, outage, clock)
         self._cold_ramp = ColdRamp(settings.vm, lambda: self._facts.vms_by_id, clock)
         self._holders = Holders(settings.vm, settings.region)
         self._allowances = Allowances(
--- a/tests/entry/test_outage.py
+++ b/tests/entry/test_outage.py
@@ -23,3 +23,21 @@
     clock.advance(OUTAGE / 2)
     meter.note_success()
     assert not noted
+
+
+def test_a_call_that_hung_in_the_outage_does_not_prolong_it():
+    """Load: a VM was cut off; one call is answered, an older one times out later."""
+    clock, noted = ManualClock(), []
+    meter = OutageMeter(lambda: noted.append(clock.now()), clock)
+    first = clock.now()
+    clock.advance(9_000.0)
+    hung = clock.now()
+    meter.note_failure(first)
+    clock.advance(500.0)
+    meter.note_success()
+    ended = clock.now()
+    clock.advance(1_000.0)
+    meter.note_failure(hung)
+    clock.advance(500.0)
+    meter.note_success()
+    assert noted[-1] == ended
