--- a/lagoonlatch/entry/news.py
+++ b/lagoonlatch/entry/news.py
@@ -35,12 +35,15 @@
 ASK_INTERVAL: Millis = 500.0
 """Between questions while the store fails; a change must count within a few seconds."""
 
-BEHIND: Millis = 300.0
+BEHIND: Millis = 150.0
 """Others may know more for so long; what they pass on may be on its way."""
 
 LOOK_INTERVAL: Millis = 100.0
 """How often a VM looks whether others know more."""
 
+CONNECT_TIMEOUT: Millis = 300.0
+"""Some round trips between regions; a VM that is cut off answers nothing."""
+
 CALL_TIMEOUT: Millis = 800.0
 """Longest call: some round trips between regions, and the items' transfer."""
 
@@ -114,6 +117,7 @@
         self._list_ahead = list_ahead
         self._clock = clock
         self._behind_since: Millis | None = None
+        self._last_failed = ""
         self._asked: Millis = 0.0
 
     def run(self) -> None:
@@ -133,18 +137,22 @@
         elif self._behind_since is None:
             self._behind_since = now
         elif now - self._behind_since >= BEHIND:
-            self._behind_since = None
-            self._ask(random.choice(ahead))
+            self._ask(self._choose(ahead))
             return
         is_due = now - self._asked >= ASK_INTERVAL
         if not ahead and is_due and self._sync.failing_for() >= ASK_AFTER:
             self._asked = now
             addresses = self._list_addresses()
             if addresses:
-                self._ask(random.choice(addresses))
+                self._ask(self._choose(addresses))
+
+    def _choose(self, peers: Sequence[str]) -> str:
+        """Return one of `peers`, not the one that failed last if there is another."""
+        return random.choice([p for p in peers if p != self._last_failed] or peers)
 
     def _ask(self, peer: str) -> None:
         result = _call(peer, self._reading.revision)
+        self._last_failed = peer if isinstance(result, Failure) else ""
         if isinstance(result, Failure):
             emit(NewsFailed(peer=peer, why=result.failure()))
             return
@@ -184,7 +192,11 @@
 def _call(address: str, revision: int) -> Result[wire.Reading, str]:
     try:
         with gevent.Timeout(CALL_TIMEOUT / MILLIS_PER_SECOND, TimeoutError):
-            sock = socket.create_connection(Endpoint.from_address(address).pair)
+            sock = socket.create_connection(
+                Endpoint.from_address(address).pair,
+                CONNECT_TIMEOUT / MILLIS_PER_SECOND,
+            )
+            sock.settimeout(None)
             try:
                 tune_socket(sock)
                 protocol = TBinaryProtocolAccelerated(framed_transport(sock))
--- a/lagoonlatch/entry/sync.py
+++ b/lagoonlatch/entry/sync.py
@@ -28,7 +28,7 @@
 WAIT_MARGIN: Millis = 500.0
 """What is left of the settling time after a wait: for a new reading."""
 
-GATHER: Millis = 800.0
+GATHER: Millis = 400.0
 """Pause between an answer of the watch and the next call, so that one call brings the
 changes of several upstreams; a small part of the time in which a change must count."""
 
