Generate both peer protocols by one recipe, each into an emptied folder

The entry VM's recipe was a second copy of the first, and thrift names both packages alike: run in a clean clone, the old make generate left the entry VM's News.py in lagoonlatch/vms/generated. The generated files don't change.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 export PYTHONPATH := $(CURDIR)
 
-.PHONY: setup test lint demo soak bench binary generate generate-entry
+.PHONY: setup test lint demo soak bench binary generate
 
 setup: $(VENV)/.ready
 
@@ -34,16 +34,11 @@
 bench: setup
 	$(BIN)/python -m lagoonlatch.load --out benchmarks/results/bench.json
 
-generate-entry:
-	mkdir -p build/generated
-	thrift --gen py -out build/generated lagoonlatch/entry/peer.thrift
-	rm -rf lagoonlatch/entry/generated
-	mkdir lagoonlatch/entry/generated
-	cp build/generated/peer/*.py lagoonlatch/entry/generated/
-
-generate: generate-entry
-	mkdir -p build/generated
-	thrift --gen py -out build/generated lagoonlatch/vms/peer.thrift
-	rm -rf lagoonlatch/vms/generated
-	mkdir lagoonlatch/vms/generated
-	cp build/generated/peer/*.py lagoonlatch/vms/generated/
+# thrift puts both protocols into a package of one name, so the folder is emptied.
+generate:
+	for package in lagoonlatch/vms lagoonlatch/entry; do \
+		rm -rf build/generated $$package/generated; \
+		mkdir -p build/generated $$package/generated; \
+		thrift --gen py -out build/generated $$package/peer.thrift || exit 1; \
+		cp build/generated/peer/*.py $$package/generated/ || exit 1; \
+	done
