Set the options of a silent connection in one place

The entry VM's detect_silence was written beside vms.connection.tune_socket, with the no-delay option before it at each call. One tune_socket in sockets now serves the store, upstreams and other VMs; the options read back from the sockets are the same as before, all six of each.

--- a/lagoonlatch/entry/exchange.py
+++ b/lagoonlatch/entry/exchange.py
@@ -20,7 +20,7 @@
 )
 from lagoonlatch.platform.endpoint import Endpoint
 from lagoonlatch.platform.headers import is_stamp, read_answer_fields
-from lagoonlatch.sockets import detect_silence
+from lagoonlatch.sockets import tune_socket
 
 CONNECT_TIMEOUT: Millis = 400.0
 """Some round trips between regions; a lost opening packet is not waited for."""
@@ -66,8 +66,7 @@
         sock = socket.create_connection(
             Endpoint.from_address(address).pair, timeout=seconds
         )
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        detect_silence(sock, UNACKNOWLEDGED_TIMEOUT)
+        tune_socket(sock, UNACKNOWLEDGED_TIMEOUT)
         return cls(sock, clock)
 
     def idle_time(self) -> Millis:
--- a/lagoonlatch/entry/news.py
+++ b/lagoonlatch/entry/news.py
@@ -27,7 +27,7 @@
 from lagoonlatch.platform.endpoint import Endpoint
 from lagoonlatch.platform.kv import Change
 from lagoonlatch.platform.store import Entry
-from lagoonlatch.vms.connection import framed_transport, tune_socket
+from lagoonlatch.vms.connection import framed_transport, tune_peer_socket
 
 ASK_AFTER: Millis = 600.0
 """A store that fails for so long is not waited for."""
@@ -78,7 +78,7 @@
         return wire.Reading(revision=known, items=items, lapse_left=lapse_left)
 
     def _serve_connection(self, sock: socket.socket, _address: tuple) -> None:
-        tune_socket(sock)
+        tune_peer_socket(sock)
         protocol = TBinaryProtocolAccelerated(framed_transport(sock))
         processor = News.Processor(self)
         try:
@@ -198,7 +198,7 @@
             )
             sock.settimeout(None)
             try:
-                tune_socket(sock)
+                tune_peer_socket(sock)
                 protocol = TBinaryProtocolAccelerated(framed_transport(sock))
                 return Success(News.Client(protocol).read_since(revision))
             finally:
--- a/lagoonlatch/platform/connections.py
+++ b/lagoonlatch/platform/connections.py
@@ -6,7 +6,7 @@
 
 import gevent
 from gevent.local import local
-from gevent.socket import IPPROTO_TCP, TCP_NODELAY, socket
+from gevent.socket import socket
 from geventhttpclient import HTTPClient
 from geventhttpclient.connectionpool import ConnectionPool
 from geventhttpclient.response import HTTPParseError, HTTPSocketPoolResponse
@@ -14,7 +14,7 @@
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Millis
 from lagoonlatch.platform.endpoint import Endpoint
-from lagoonlatch.sockets import detect_silence
+from lagoonlatch.sockets import tune_socket
 
 DEFAULT_CONNECTIONS = 8
 DEFAULT_TIMEOUT: Millis = 2_000.0
@@ -95,8 +95,7 @@
 
     def after_connect(self, sock: socket) -> None:
         """Send small requests at once and notice a peer that is out of reach."""
-        sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
-        detect_silence(sock, SILENCE_TIMEOUT)
+        tune_socket(sock, SILENCE_TIMEOUT)
 
     def get_socket(self) -> socket:
         """Take a socket for the greenlet's call."""
--- a/lagoonlatch/vms/client_connection.py
+++ b/lagoonlatch/vms/client_connection.py
@@ -15,7 +15,7 @@
     PeerProtocol,
     SequenceError,
     framed_transport,
-    tune_socket,
+    tune_peer_socket,
 )
 from lagoonlatch.vms.errors import PeerError, PeerOutcomeUnknown, PeerUnreachable
 from lagoonlatch.vms.generated import Peer
@@ -65,7 +65,7 @@
             reason = f"can't connect to {endpoint[0]}:{endpoint[1]}: {error}"
             return Failure(PeerUnreachable(reason))
         sock.settimeout(None)
-        tune_socket(sock)
+        tune_peer_socket(sock)
         self._sock = sock
         self._protocol = PeerProtocol(framed_transport(sock, self._max_frame_bytes))
         self._client = Peer.Client(self._protocol)
--- a/lagoonlatch/vms/connection.py
+++ b/lagoonlatch/vms/connection.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import socket
-
 from gevent import socket as gevent_socket
 from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
 from thrift.transport.TSocket import TSocket
 from thrift.transport.TTransport import TFramedTransport
 
 from lagoonlatch.clock import Millis
+from lagoonlatch.sockets import tune_socket
 
 MAX_FRAME_BYTES = 32 * 1024 * 1024
 """A whole configuration document is the largest message."""
@@ -17,23 +16,13 @@
 UNACKNOWLEDGED_TIMEOUT: Millis = 3_000.0
 """The kernel drops a connection whose data stay unacknowledged this long."""
 
-KEEPALIVE_IDLE_SECONDS = 2
-KEEPALIVE_INTERVAL_SECONDS = 1
-KEEPALIVE_PROBES = 3
-
-
-def tune_socket(sock: gevent_socket.socket) -> None:
-    """Send small messages at once and let the kernel notice a silent path."""
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
-    sock.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS
-    )
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(UNACKNOWLEDGED_TIMEOUT)
-    )
+FIRST_PROBE: Millis = 2_000.0
+"""Until an idle connection is probed."""
+
+
+def tune_peer_socket(sock: gevent_socket.socket) -> None:
+    """Set what both ends of a connection between VMs need."""
+    tune_socket(sock, UNACKNOWLEDGED_TIMEOUT, FIRST_PROBE)
 
 
 def framed_transport(
--- a/lagoonlatch/vms/server.py
+++ b/lagoonlatch/vms/server.py
@@ -17,7 +17,7 @@
     MAX_FRAME_BYTES,
     PeerProtocol,
     framed_transport,
-    tune_socket,
+    tune_peer_socket,
 )
 from lagoonlatch.vms.generated import Peer
 from lagoonlatch.vms.ledger import ASKING_GRACE, CallCancelled, CallLedger
@@ -151,7 +151,7 @@
 
 class _ServerConnection:
     def __init__(self, sock, ledger, max_frame_bytes):
-        tune_socket(sock)
+        tune_peer_socket(sock)
         self._sock = sock
         self._protocol = PeerProtocol(framed_transport(sock, max_frame_bytes))
         self._processor = Peer.Processor(ledger)
