--- a/lagoonlatch/entry/metrics.py
+++ b/lagoonlatch/entry/metrics.py
@@ -4,16 +4,15 @@
 
 from collections.abc import Callable
 
-from aioprometheus import Counter, Gauge, Histogram, Registry
-from aioprometheus.renderer import render
+from aioprometheus import Gauge
 
 from lagoonlatch.clock import Millis
-from lagoonlatch.metrics import LATENCY_BUCKETS
+from lagoonlatch.metrics import MetricSet
 
 METRICS_PATH = "/metrics"
 
 
-class EntryMetrics:
+class EntryMetrics(MetricSet):
     """The metrics; its method names say what happened.
 
     Parameters
@@ -23,21 +22,20 @@
     """
 
     def __init__(self, vm: str, data_centre: str) -> None:
-        self._registry = Registry()
-        self._labels = {"vm": vm, "data_centre": data_centre}
+        super().__init__(vm=vm, data_centre=data_centre)
         self._gauges: list[tuple[Gauge, Callable[[], float]]] = []
         self._requests = self._counter("requests_total", "Requests by route and status")
         self._refusals = self._counter("refusals_total", "Refused requests by reason")
         self._attempts = self._counter(
             "attempts_total", "Attempts at upstreams by service and outcome"
         )
-        self._latency = self._histogram(
+        self._latencies = self._latency(
             "request_milliseconds", "From a request's header to its answer, by route"
         )
-        self._waiting = self._histogram(
+        self._waiting = self._latency(
             "waiting_milliseconds", "Waiting for a slot, by service"
         )
-        self._store = self._histogram("store_call_milliseconds", "Calls to the store")
+        self._store = self._latency("store_call_milliseconds", "Calls to the store")
         self._store_calls = self._counter(
             "store_calls_total", "Calls to the store by call and result"
         )
@@ -45,7 +43,7 @@
     def request_ended(self, route: str, status: int, why: str, total: Millis) -> None:
         """Count a final answer."""
         self._requests.inc({"route": route, "status": str(status)})
-        self._latency.observe({"route": route}, total)
+        self._latencies.observe({"route": route}, total)
         if why:
             self._refusals.inc({"reason": why})
 
@@ -65,34 +63,10 @@
 
     def add_gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
         """Show what `read` returns when the metrics are asked for."""
-        gauge = Gauge(
-            f"lagoonlatch_{name}",
-            text,
-            const_labels=self._labels,
-            registry=self._registry,
-        )
-        self._gauges.append((gauge, read))
+        self._gauges.append((self._gauge(name, text), read))
 
     def render(self) -> bytes:
         """Return the text form."""
         for gauge, read in self._gauges:
             gauge.set({}, read())
-        content, _ = render(self._registry, [])
-        return content
-
-    def _counter(self, name: str, text: str) -> Counter:
-        return Counter(
-            f"lagoonlatch_{name}",
-            text,
-            const_labels=self._labels,
-            registry=self._registry,
-        )
-
-    def _histogram(self, name: str, text: str) -> Histogram:
-        return Histogram(
-            f"lagoonlatch_{name}",
-            text,
-            const_labels=self._labels,
-            registry=self._registry,
-            buckets=LATENCY_BUCKETS,
-        )
+        return super().render()
--- a/lagoonlatch/metrics.py
+++ b/lagoonlatch/metrics.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from typing import TypeVar
+
 from aioprometheus import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
@@ -13,6 +15,8 @@
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
+M = TypeVar("M", Counter, Gauge, Histogram)
+
 LATENCY_BUCKETS: list[Millis] = [
     1.0,
     2.0,
@@ -30,7 +34,44 @@
 ]
 
 
-class FleetMetrics:
+class MetricSet:
+    """Metrics under one prefix with the same constant labels.
+
+    Parameters
+    ----------
+    **labels : str
+        Constant labels of every metric.
+    """
+
+    def __init__(self, **labels: str) -> None:
+        self._registry = Registry()
+        self._labels = labels
+
+    def render(self) -> bytes:
+        """Return all metrics in Prometheus's text format."""
+        text, _ = render(self._registry, ["text/plain"])
+        return text
+
+    def _counter(self, name: str, doc: str) -> Counter:
+        return self._add(Counter, name, doc)
+
+    def _gauge(self, name: str, doc: str) -> Gauge:
+        return self._add(Gauge, name, doc)
+
+    def _latency(self, name: str, doc: str) -> Histogram:
+        return self._add(Histogram, name, doc, buckets=LATENCY_BUCKETS)
+
+    def _add(self, kind: type[M], name: str, doc: str, **options: object) -> M:
+        return kind(
+            f"lagoonlatch_{name}",
+            doc,
+            const_labels=self._labels,
+            registry=self._registry,
+            **options,
+        )
+
+
+class FleetMetrics(MetricSet):
     """The metrics of one daemon; its method names say what happened.
 
     Parameters
@@ -40,17 +81,12 @@
     """
 
     def __init__(self, vm: str, data_centre: str, region: str) -> None:
-        self._registry = Registry()
-        self._labels = {"vm": vm, "data_centre": data_centre, "region": region}
+        super().__init__(vm=vm, data_centre=data_centre, region=region)
         self._requests = self._counter(
             "requests_total", "Requests by organisation, service and outcome"
         )
-        self._latency = Histogram(
-            "lagoonlatch_request_milliseconds",
-            "Time from arrival to the last byte of the answer",
-            const_labels=self._labels,
-            registry=self._registry,
-            buckets=LATENCY_BUCKETS,
+        self._latencies = self._latency(
+            "request_milliseconds", "Time from arrival to the last byte of the answer"
         )
         self._refusals = self._counter(
             "refusals_total", "Refused requests by organisation and reason"
@@ -80,7 +116,7 @@
             "outcome": outcome,
         }
         self._requests.inc(labels)
-        self._latency.observe({"service": service}, latency)
+        self._latencies.observe({"service": service}, latency)
 
     def request_refused(self, organisation: str, reason: str) -> None:
         """Count one refused request."""
@@ -114,24 +150,3 @@
         """Set a service's requests at upstreams and in the queue."""
         self._in_flight.set({"service": service}, in_flight)
         self._queued.set({"service": service}, queued)
-
-    def render(self) -> bytes:
-        """Return all metrics in Prometheus's text format."""
-        text, _ = render(self._registry, ["text/plain"])
-        return text
-
-    def _counter(self, name: str, doc: str) -> Counter:
-        return Counter(
-            f"lagoonlatch_{name}",
-            doc,
-            const_labels=self._labels,
-            registry=self._registry,
-        )
-
-    def _gauge(self, name: str, doc: str) -> Gauge:
-        return Gauge(
-            f"lagoonlatch_{name}",
-            doc,
-            const_labels=self._labels,
-            registry=self._registry,
-        )
