Log and count final answers in one place

_turn_away and _end each wrote request_ended. One difference goes: the latency histogram got a fixed 0 for requests of no route, now the time that the log line told already (below its first bucket's bound).

--- a/lagoonlatch/entry/handling.py
+++ b/lagoonlatch/entry/handling.py
@@ -175,22 +175,7 @@
         wait: Millis | None = None,
     ) -> CallerAnswer:
         """Answer a request that belongs to no route."""
-        self._metrics.request_ended("", int(status), why, 0.0)
-        emit(
-            RequestEnded(
-                request=request.fields.request_id.decode("latin-1"),
-                status=int(status),
-                why=why,
-                route="",
-                service="",
-                organisation="",
-                upstream="",
-                attempts=0,
-                waited_ms=0,
-                total_ms=round(self._clock.now() - request.received),
-                config=self._facts.rules.version if self._facts.rules else 0,
-            )
-        )
+        self._log_end(request, status, why)
         headers = [] if wait is None else [retry_after(wait)]
         return CallerAnswer(status=int(status), headers=headers)
 
@@ -344,21 +329,46 @@
         return CallerAnswer(status=status)
 
     def _end(self, journey: _Journey, status: int, why: str) -> None:
-        request = journey.request
-        total = self._clock.now() - request.received
-        self._metrics.request_ended(journey.route.id, int(status), why, total)
         organisation = journey.organisation
+        self._log_end(
+            journey.request,
+            status,
+            why,
+            route=journey.route.id,
+            service=journey.service,
+            organisation=organisation.id if organisation is not None else "",
+            upstream=journey.last,
+            attempts=journey.reached,
+            waited=journey.waited,
+        )
+
+    def _log_end(
+        self,
+        request: CallerRequest,
+        status: int,
+        why: str,
+        *,
+        route: str = "",
+        service: str = "",
+        organisation: str = "",
+        upstream: str = "",
+        attempts: int = 0,
+        waited: Millis = 0.0,
+    ) -> None:
+        """Count and log a final answer; what isn't known stays empty."""
+        total = self._clock.now() - request.received
+        self._metrics.request_ended(route, int(status), why, total)
         emit(
             RequestEnded(
                 request=request.fields.request_id.decode("latin-1"),
                 status=int(status),
                 why=why,
-                route=journey.route.id,
-                service=journey.service,
-                organisation=organisation.id if organisation is not None else "",
-                upstream=journey.last,
-                attempts=journey.reached,
-                waited_ms=round(journey.waited),
+                route=route,
+                service=service,
+                organisation=organisation,
+                upstream=upstream,
+                attempts=attempts,
+                waited_ms=round(waited),
                 total_ms=round(total),
                 config=self._facts.rules.version if self._facts.rules else 0,
             )
