One place for lapsed entries, for runs in touch; less work at a VM's start

- The oracle's two checks of runs shared their look-up and condition.
- A VM writes its place at each start; told unchanged, it no longer recomputes the holders of every organisation on every VM, nor drops what was borrowed.
- FILL and Fleet.is_evacuated had no user.

--- a/lagoonlatch/entry/facts.py
+++ b/lagoonlatch/entry/facts.py
@@ -139,8 +139,7 @@
         elif key.startswith(VM_PREFIX):
             self._write_vm(key, value)
         elif key.startswith(ROSTER_PREFIX):
-            self.roster[key.removeprefix(ROSTER_PREFIX)] = decode_roster(value)
-            self._tell_roster()
+            self._write_roster(key.removeprefix(ROSTER_PREFIX), decode_roster(value))
 
     def _remove(self, key: str) -> None:
         self._entry_by_key.pop(key, None)
@@ -160,6 +159,12 @@
             self.roster.pop(key.removeprefix(ROSTER_PREFIX), None)
             self._tell_roster()
 
+    def _write_roster(self, vm: str, data_centre: str) -> None:
+        # A VM writes its place at each start; the parts change only with a new one.
+        if self.roster.get(vm) != data_centre:
+            self.roster[vm] = data_centre
+            self._tell_roster()
+
     def _tell_roster(self) -> None:
         for listener in self._on_roster:
             listener(self.roster)
--- a/lagoonlatch/entry/news.py
+++ b/lagoonlatch/entry/news.py
@@ -18,7 +18,6 @@
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
 from lagoonlatch.entry.events import NewsFailed, NewsTaken
-from lagoonlatch.entry.facts import Facts
 from lagoonlatch.entry.generated import News
 from lagoonlatch.entry.generated import ttypes as wire
 from lagoonlatch.entry.journal import emit
@@ -51,9 +50,8 @@
 class NewsServer:
     """Answers VMs that know less than this one."""
 
-    def __init__(self, reading: StoreReading, facts: Facts) -> None:
+    def __init__(self, reading: StoreReading) -> None:
         self._reading = reading
-        self._facts = facts
 
     def serve(self, address: str) -> StreamServer:
         """Start listening at ``IP:port``."""
@@ -74,7 +72,7 @@
             wire.Item(entry.key, entry.value, entry.revision)
             for entry in self._reading.entries()
         ]
-        lapse_left = round(self._facts.lapse_left())
+        lapse_left = round(self._reading.lapse_left())
         return wire.Reading(revision=known, items=items, lapse_left=lapse_left)
 
     def _serve_connection(self, sock: socket.socket, _address: tuple) -> None:
@@ -104,14 +102,12 @@
     def __init__(
         self,
         reading: StoreReading,
-        facts: Facts,
         sync: StoreSync,
         list_addresses: Callable[[], Sequence[str]],
         list_ahead: Callable[[int], Sequence[str]],
         clock: Clock,
     ) -> None:
         self._reading = reading
-        self._facts = facts
         self._sync = sync
         self._list_addresses = list_addresses
         self._list_ahead = list_ahead
@@ -162,10 +158,9 @@
         if found.batch is not None:
             self._reading.take_batch(decode_batch(found.batch))
         else:
-            if found.lapse_left:
-                self._facts.hold_lapsed(float(found.lapse_left))
             entries = [Entry(i.key, i.value, i.revision) for i in found.items]
-            self._reading.take_snapshot(entries, found.revision)
+            lapse_left = float(found.lapse_left or 0)
+            self._reading.take_snapshot(entries, found.revision, lapse_left)
         emit(NewsTaken(peer=peer, revision=found.revision))
 
 
--- a/lagoonlatch/entry/process.py
+++ b/lagoonlatch/entry/process.py
@@ -188,10 +188,9 @@
             self._peer_table,
             clock,
         )
-        self._news = NewsServer(self._reading, self._facts)
+        self._news = NewsServer(self._reading)
         self._news_reader = NewsReader(
             self._reading,
-            self._facts,
             self._sync,
             self._peers.addresses,
             self._addresses_ahead,
--- a/lagoonlatch/entry/reading.py
+++ b/lagoonlatch/entry/reading.py
@@ -52,8 +52,21 @@
         """Return all entries as the store holds them."""
         return self._facts.entries()
 
-    def take_snapshot(self, entries: Sequence[Entry], revision: int) -> None:
-        """Replace all facts by a reading up to `revision`."""
+    def lapse_left(self) -> Millis:
+        """Return for how long upstreams whose entries are gone may come back."""
+        return self._facts.lapse_left()
+
+    def take_snapshot(
+        self, entries: Sequence[Entry], revision: int, lapse_left: Millis = 0.0
+    ) -> None:
+        """Replace all facts by a reading up to `revision`.
+
+        Parameters
+        ----------
+        lapse_left : Millis
+            As in `Batch`, from the VM that passes the reading on.
+        """
+        self._hold(lapse_left)
         self._facts.take_snapshot(entries)
         self.revision = revision
         self._batches.clear()
@@ -65,8 +78,7 @@
         if batch.until <= self.revision:
             return True
         new = tuple(c for c in batch.changes if c.revision > self.revision)
-        if batch.lapse_left > 0.0:
-            self._facts.hold_lapsed(batch.lapse_left)
+        self._hold(batch.lapse_left)
         self._facts.take_changes(new)
         kept = Batch(since=self.revision, until=batch.until, changes=new)
         self.revision = batch.until
@@ -82,9 +94,13 @@
             since=revision,
             until=self.revision,
             changes=tuple(c for batch in chain for c in batch.changes),
-            lapse_left=self._facts.lapse_left(),
+            lapse_left=self.lapse_left(),
         )
 
+    def _hold(self, lapse_left: Millis) -> None:
+        if lapse_left > 0.0:
+            self._facts.hold_lapsed(lapse_left)
+
     def _keep(self, batch: Batch) -> None:
         now = self._clock.now()
         self._batches.append((now, batch))
--- a/lagoonlatch/steering/placement.py
+++ b/lagoonlatch/steering/placement.py
@@ -26,10 +26,6 @@
 """Upstreams of an object in its first and second region, then one in each; with more,
 each upstream would meet more objects than it remembers."""
 
-FILL = 1.15
-"""Load up to which an upstream is filled, relative to its slots; the estimate errs, and
-a slot that waits for a request is lost."""
-
 FAILING_SHARE = 0.25
 """An upstream that fails this much more of its attempts than the service's upstreams
 do on the whole is used only if others are full; if all fail alike, moving objects
--- a/lagoonlatch/steering/upstreams.py
+++ b/lagoonlatch/steering/upstreams.py
@@ -188,10 +188,6 @@
                 state.set_cold(self._cold_duration(state.record.service))
         self._evacuated = data_centres
 
-    def is_evacuated(self, data_centre: str) -> bool:
-        """Return whether `data_centre` is to get no requests."""
-        return data_centre in self._evacuated
-
     def of_service(self, service: str) -> Iterable[UpstreamState]:
         """Return the upstreams of a service."""
         return self._states_by_service[service].values()
--- a/tests/entry/test_news.py
+++ b/tests/entry/test_news.py
@@ -17,9 +17,7 @@
 
 
 def make_reader(vm, ahead):
-    return NewsReader(
-        vm.reading, vm.facts, Sync(), list, lambda revision: ahead, vm.clock
-    )
+    return NewsReader(vm.reading, Sync(), list, lambda revision: ahead, vm.clock)
 
 
 def look_until(reader, clock, condition, most=20):
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -102,12 +102,17 @@
             yield at, request, instance.id
 
 
-def _evacuation_problems(world: World) -> Iterator[str]:
+def _runs_in_touch(world: World) -> Iterator[tuple[Millis, str, str]]:
+    """Yield the runs of requests that a VM in touch had passed on."""
     asked_by_id = {asked.id: asked for asked in world.history.asked}
     for at, request, instance in _runs(world):
         asked = asked_by_id.get(request)
-        if asked is None or not _in_touch(world, asked):
-            continue
+        if asked is not None and _in_touch(world, asked):
+            yield at, request, instance
+
+
+def _evacuation_problems(world: World) -> Iterator[str]:
+    for at, request, instance in _runs_in_touch(world):
         for start, end, data_centre in world.history.evacuated:
             inside = world.data_centre_by_instance[instance] == data_centre
             if inside and start + CHANGE < at < end:
@@ -115,12 +120,8 @@
 
 
 def _drain_problems(world: World) -> Iterator[str]:
-    asked_by_id = {asked.id: asked for asked in world.history.asked}
     leaving = [s for s in world.history.spans if s.kind == "upstream_leaves"]
-    for at, request, instance in _runs(world):
-        asked = asked_by_id.get(request)
-        if asked is None or not _in_touch(world, asked):
-            continue
+    for at, request, instance in _runs_in_touch(world):
         for span in leaving:
             if span.subject == instance and span.start + DRAIN < at < span.end:
                 yield f"{request}: reached {instance}, which had left"
