Say only the fault in the soak's kinds that break a connection

Seven kinds repeated their name and the breaking of a store's or an upstream's connections. A decorator does both.

--- a/tests/soak/kinds.py
+++ b/tests/soak/kinds.py
@@ -20,6 +20,7 @@
 """A VM that starts is not yet in touch; others of the machine start beside it."""
 
 Play = Callable[[World, random.Random, Millis], None]
+MakeFault = Callable[[random.Random], Fault]
 
 KINDS_BY_NAME: dict[str, Play] = {}
 
@@ -121,37 +122,54 @@
     world.proxy.end_rule(name)
 
 
-def _break_store(
-    world: World, rng: random.Random, duration: Millis, name: str, fault: Fault
-) -> None:
-    vms = sorted(world.vms_by_id)
-    hit = vms if rng.random() < 0.4 else [rng.choice(vms)]
-    # Others may be told by those that are hit, so none is in touch meanwhile.
-    with _Disturbed(world, name, *vms):
-        gevent.joinall(
-            [gevent.spawn(_break, world, f"store-{v}", fault, duration) for v in hit],
-            raise_error=True,
-        )
+def store_fault(make: MakeFault) -> MakeFault:
+    """Register a fault between the store and one VM or all."""
 
+    def play(world: World, rng: random.Random, duration: Millis) -> None:
+        fault = make(rng)
+        vms = sorted(world.vms_by_id)
+        hit = vms if rng.random() < 0.4 else [rng.choice(vms)]
+        # Others may be told by those that are hit, so none is in touch meanwhile.
+        with _Disturbed(world, make.__name__, *vms):
+            breaking = [
+                gevent.spawn(_break, world, f"store-{vm}", fault, duration)
+                for vm in hit
+            ]
+            gevent.joinall(breaking, raise_error=True)
 
-@kind
-def store_cut(world: World, rng: random.Random, duration: Millis) -> None:
-    """Reset one VM's or all VMs' connections to the store."""
-    _break_store(world, rng, duration, "store_cut", Fault(cut=True))
+    KINDS_BY_NAME[make.__name__] = play
+    return make
 
 
-@kind
-def store_silent(world: World, rng: random.Random, duration: Millis) -> None:
-    """Lose all bytes between the store and one VM or all."""
-    fault = Fault(swallow=Swallow.ALL)
-    _break_store(world, rng, duration, "store_silent", fault)
+def upstream_fault(make: MakeFault) -> MakeFault:
+    """Register a fault between one upstream and all VMs."""
 
+    def play(world: World, rng: random.Random, duration: Millis) -> None:
+        fault = make(rng)
+        instance = _any_instance(world, rng)
+        with _Disturbed(world, make.__name__, instance):
+            _break(world, instance, fault, duration)
 
-@kind
-def store_slow(world: World, rng: random.Random, duration: Millis) -> None:
+    KINDS_BY_NAME[make.__name__] = play
+    return make
+
+
+@store_fault
+def store_cut(_rng: random.Random) -> Fault:
+    """Reset connections and refuse new ones."""
+    return Fault(cut=True)
+
+
+@store_fault
+def store_silent(_rng: random.Random) -> Fault:
+    """Lose all bytes."""
+    return Fault(swallow=Swallow.ALL)
+
+
+@store_fault
+def store_slow(rng: random.Random) -> Fault:
     """Delay the store's answers."""
-    fault = Fault(delay=rng.uniform(50.0, 400.0))
-    _break_store(world, rng, duration, "store_slow", fault)
+    return Fault(delay=rng.uniform(50.0, 400.0))
 
 
 @kind
@@ -170,40 +188,28 @@
         world.store.forget_history()
 
 
-def _break_upstream(
-    world: World, rng: random.Random, duration: Millis, name: str, fault: Fault
-) -> None:
-    instance = _any_instance(world, rng)
-    with _Disturbed(world, name, instance):
-        _break(world, instance, fault, duration)
+@upstream_fault
+def upstream_cut(_rng: random.Random) -> Fault:
+    """Reset connections and refuse new ones."""
+    return Fault(cut=True)
 
 
-@kind
-def upstream_cut(world: World, rng: random.Random, duration: Millis) -> None:
-    """Reset an upstream's connections and refuse new ones."""
-    _break_upstream(world, rng, duration, "upstream_cut", Fault(cut=True))
+@upstream_fault
+def upstream_silent(rng: random.Random) -> Fault:
+    """Lose all bytes, on open connections or on all."""
+    return Fault(swallow=rng.choice([Swallow.EXISTING, Swallow.ALL]))
 
 
-@kind
-def upstream_silent(world: World, rng: random.Random, duration: Millis) -> None:
-    """Lose all bytes to and from an upstream, on open connections or on all."""
-    swallow = rng.choice([Swallow.EXISTING, Swallow.ALL])
-    fault = Fault(swallow=swallow)
-    _break_upstream(world, rng, duration, "upstream_silent", fault)
+@upstream_fault
+def upstream_slow(rng: random.Random) -> Fault:
+    """Delay all bytes."""
+    return Fault(delay=rng.uniform(20.0, 600.0))
 
 
-@kind
-def upstream_slow(world: World, rng: random.Random, duration: Millis) -> None:
-    """Delay all bytes to and from an upstream."""
-    fault = Fault(delay=rng.uniform(20.0, 600.0))
-    _break_upstream(world, rng, duration, "upstream_slow", fault)
-
-
-@kind
-def upstream_cuts_answers(world: World, rng: random.Random, duration: Millis) -> None:
-    """Let an upstream's connections go silent in the midst of their bytes."""
-    fault = Fault(lose_after=rng.randrange(50, 3_000))
-    _break_upstream(world, rng, duration, "upstream_cuts_answers", fault)
+@upstream_fault
+def upstream_cuts_answers(rng: random.Random) -> Fault:
+    """Let connections go silent in the midst of their bytes."""
+    return Fault(lose_after=rng.randrange(50, 3_000))
 
 
 @kind
