--- /dev/null
+++ b/lagoonlatch/entry/loans.py
@@ -0,0 +1,138 @@
+"""Borrows tokens of allowances from other VMs."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Callable
+
+import gevent
+from gevent.event import AsyncResult
+
+from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
+from lagoonlatch.entry.generated.ttypes import Ask
+from lagoonlatch.steering.allowances import Allowances
+from lagoonlatch.steering.holders import Holders
+from lagoonlatch.steering.peers import PeerTable
+
+LOAN_PATIENCE: Millis = 200.0
+"""A loan from the farthest region takes a round trip and some scheduling."""
+
+LOAN_PAUSE: Millis = 100.0
+"""Between rounds of borrowing ahead of demand."""
+
+ASKED_MOST = 8
+"""Holders that one request asks: those of its region and some others."""
+
+
+class Borrower:
+    """Asks other VMs, for one organisation one at a time.
+
+    Parameters
+    ----------
+    me : str
+        This VM.
+    send_ask : callable
+        Sends an ask to a VM that was heard.
+    """
+
+    def __init__(
+        self,
+        me: str,
+        allowances: Allowances,
+        holders: Holders,
+        table: PeerTable,
+        send_ask: Callable[[str, Ask], None],
+        clock: Clock,
+    ) -> None:
+        self._me = me
+        self._allowances = allowances
+        self._holders = holders
+        self._table = table
+        self._send_ask = send_ask
+        self._clock = clock
+        self._pending_by_organisation: dict[str, AsyncResult] = {}
+        self._organisation_by_number: dict[int, str] = {}
+        self._waiting_by_organisation: Counter[str] = Counter()
+
+    def borrow_ahead(self) -> None:
+        """Borrow for organisations that run short, for ever."""
+        while True:
+            gevent.sleep(LOAN_PAUSE / MILLIS_PER_SECOND)
+            for organisation in self._allowances.wanted_by_id():
+                self._ask(organisation)
+
+    def borrow(self, organisation: str) -> bool:
+        """Wait for loans; return whether one was given.
+
+        A VM that holds no part of the allowance asks one holder after the other, those
+        of its region first.
+        """
+        self._waiting_by_organisation[organisation] += 1
+        try:
+            end = self._clock.now() + LOAN_PATIENCE
+            tried: set[str] = set()
+            while self._clock.now() < end:
+                pending = self._ask(organisation, tried)
+                if pending is None:
+                    return False
+                left = (end - self._clock.now()) / MILLIS_PER_SECOND
+                if pending.get(timeout=max(left, 0.0)):
+                    return True
+            return False
+        except gevent.Timeout:
+            return False
+        finally:
+            self._waiting_by_organisation[organisation] -= 1
+
+    def take_loan(self, number: int, tokens: int) -> None:
+        """Take in the answer to the ask called `number`; 0 tokens if none came."""
+        organisation = self._organisation_by_number.pop(number, None)
+        if organisation is None:
+            return
+        self._allowances.receive(organisation, tokens)
+        pending = self._pending_by_organisation.pop(organisation, None)
+        if pending is not None:
+            pending.set(tokens)
+
+    def _ask(
+        self, organisation: str, tried: set[str] | None = None
+    ) -> AsyncResult | None:
+        pending = self._pending_by_organisation.get(organisation)
+        if pending is not None:
+            return pending
+        waiting = self._waiting_by_organisation[organisation]
+        wanted = self._allowances.wanted(organisation, waiting)
+        if not wanted:
+            return None
+        lender = self._find_lender(organisation, wanted, tried)
+        if lender is None:
+            return None
+        self._table.note_asked(lender, organisation, wanted)
+        number = random.getrandbits(62)
+        pending = AsyncResult()
+        self._pending_by_organisation[organisation] = pending
+        self._organisation_by_number[number] = organisation
+        is_held = self._holders.part(organisation).is_held
+        ask = Ask(self._me, number, organisation, wanted, not is_held)
+        self._send_ask(lender, ask)
+        gevent.spawn_later(LOAN_PATIENCE / MILLIS_PER_SECOND, self.take_loan, number, 0)
+        return pending
+
+    def _find_lender(
+        self, organisation: str, wanted: int, tried: set[str] | None
+    ) -> str | None:
+        near = self._holders.near(organisation)
+        lender = self._table.best_lender(organisation, wanted, near)
+        if lender is not None and lender not in (tried or ()):
+            if tried is not None:
+                tried.add(lender)
+            return lender
+        if tried is None or self._holders.part(organisation).is_held:
+            return None
+        # A holder may have got some since it told.
+        for holder in self._holders.others(organisation)[:ASKED_MOST]:
+            if holder not in tried and self._table.is_heard(holder):
+                tried.add(holder)
+                return holder
+        return None
--- a/lagoonlatch/entry/peers.py
+++ b/lagoonlatch/entry/peers.py
@@ -2,13 +2,10 @@
 
 from __future__ import annotations
 
-import random
-from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
 
 import gevent
 from gevent import socket
-from gevent.event import AsyncResult
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
 from thrift.TSerialization import deserialize, serialize
 
@@ -16,6 +13,7 @@
 from lagoonlatch.entry.events import DatagramLost, DatagramUnreadable
 from lagoonlatch.entry.generated.ttypes import Ask, Datagram, Loan, Suspect, Tell
 from lagoonlatch.entry.journal import emit
+from lagoonlatch.entry.loans import Borrower
 from lagoonlatch.entry.news import decode_batch, encode_batch
 from lagoonlatch.entry.reading import Batch, StoreReading
 from lagoonlatch.platform.endpoint import Endpoint
@@ -33,18 +31,9 @@
 FAR_EVERY = 4
 """VMs of other regions are told every so many intervals; their bytes cost more."""
 
-LOAN_PATIENCE: Millis = 200.0
-"""A loan from the farthest region takes a round trip and some scheduling."""
-
-LOAN_PAUSE: Millis = 100.0
-"""Between rounds of borrowing ahead of demand."""
-
 MAX_DATAGRAM = 8_192
 """Largest datagram that is read; what VMs tell stays far below."""
 
-ASKED_MOST = 8
-"""Holders that one request asks: those of its region and some others."""
-
 SPARE_TOLD = 16
 """Organisations whose spare tokens one tell names; a datagram stays small with any
 number of them, and a dozen tells a second name all."""
@@ -71,6 +60,11 @@
         Takes in what other VMs pass on.
     holders : Holders
         Who may have tokens to lend.
+
+    Attributes
+    ----------
+    borrower : Borrower
+        Asks the other VMs for tokens.
     """
 
     def __init__(
@@ -93,7 +87,6 @@
         self._is_leaving = is_leaving
         self._standing = standing
         self._reading = reading
-        self._holders = holders
         self._spare_told = 0
         self._allowances = allowances
         self._quarantine = quarantine
@@ -101,28 +94,23 @@
         self._clock = clock
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._address_by_vm: dict[str, tuple[str, int]] = {}
-        self._pending_by_organisation: dict[str, AsyncResult] = {}
-        self._organisation_by_number: dict[int, str] = {}
-        self._waiting_by_organisation: Counter[str] = Counter()
+        self.borrower = Borrower(
+            me.id, allowances, holders, table, self._send_ask, clock
+        )
 
     def listen(self) -> None:
         """Take the VM's port."""
         self._sock.bind(Endpoint.from_address(self._me.peer_address).pair)
 
-    def address_of(self, vm: str) -> str | None:
-        """Return where a VM listens that was heard or told."""
-        pair = self._address_by_vm.get(vm)
-        return f"{pair[0]}:{pair[1]}" if pair is not None else None
-
     def addresses(self) -> list[str]:
         """Return where other VMs listen: those known from the store or heard."""
         known = [vm.peer_address for vm, _ in self._list_peers()]
-        heard = [
-            f"{host}:{port}"
-            for vm, (host, port) in self._address_by_vm.items()
-            if self._table.is_heard(vm)
-        ]
-        return list(dict.fromkeys(known + heard))
+        heard = filter(self._table.is_heard, self._address_by_vm)
+        return list(dict.fromkeys([*known, *map(self._address_of, heard)]))
+
+    def addresses_ahead(self, revision: int) -> list[str]:
+        """Return where VMs listen that know later changes of the store."""
+        return list(map(self._address_of, self._table.ahead_of(revision)))
 
     def tell(self) -> None:
         """Tell the other VMs for ever."""
@@ -159,90 +147,6 @@
                 continue
             self._take(datagram, address)
 
-    def borrow_ahead(self) -> None:
-        """Borrow for organisations that run short, for ever."""
-        while True:
-            gevent.sleep(LOAN_PAUSE / MILLIS_PER_SECOND)
-            for organisation in self._allowances.wanted_by_id():
-                self._ask(organisation)
-
-    def borrow(self, organisation: str) -> bool:
-        """Wait for loans; return whether one was given.
-
-        A VM that holds no part of the allowance asks one holder after the other, those
-        of its region first.
-        """
-        self._waiting_by_organisation[organisation] += 1
-        try:
-            end = self._clock.now() + LOAN_PATIENCE
-            tried: set[str] = set()
-            while self._clock.now() < end:
-                pending = self._ask(organisation, tried)
-                if pending is None:
-                    return False
-                left = (end - self._clock.now()) / MILLIS_PER_SECOND
-                if pending.get(timeout=max(left, 0.0)):
-                    return True
-            return False
-        except gevent.Timeout:
-            return False
-        finally:
-            self._waiting_by_organisation[organisation] -= 1
-
-    def _ask(
-        self, organisation: str, tried: set[str] | None = None
-    ) -> AsyncResult | None:
-        pending = self._pending_by_organisation.get(organisation)
-        if pending is not None:
-            return pending
-        waiting = self._waiting_by_organisation[organisation]
-        wanted = self._allowances.wanted(organisation, waiting)
-        if not wanted:
-            return None
-        lender = self._find_lender(organisation, wanted, tried)
-        address = self._address_by_vm.get(lender or "")
-        if lender is None or address is None:
-            return None
-        self._table.note_asked(lender, organisation, wanted)
-        number = random.getrandbits(62)
-        pending = AsyncResult()
-        self._pending_by_organisation[organisation] = pending
-        self._organisation_by_number[number] = organisation
-        is_held = self._holders.part(organisation).is_held
-        ask = Ask(self._me.id, number, organisation, wanted, not is_held)
-        self._send(Datagram(ask=ask), address)
-        gevent.spawn_later(
-            LOAN_PATIENCE / MILLIS_PER_SECOND, self._finish_ask, number, 0
-        )
-        return pending
-
-    def _find_lender(
-        self, organisation: str, wanted: int, tried: set[str] | None
-    ) -> str | None:
-        near = self._holders.near(organisation)
-        lender = self._table.best_lender(organisation, wanted, near)
-        if lender is not None and lender not in (tried or ()):
-            if tried is not None:
-                tried.add(lender)
-            return lender
-        if tried is None or self._holders.part(organisation).is_held:
-            return None
-        # A holder may have got some since it told.
-        for holder in self._holders.others(organisation)[:ASKED_MOST]:
-            if holder not in tried and self._table.is_heard(holder):
-                tried.add(holder)
-                return holder
-        return None
-
-    def _finish_ask(self, number: int, tokens: int) -> None:
-        organisation = self._organisation_by_number.pop(number, None)
-        if organisation is None:
-            return
-        self._allowances.receive(organisation, tokens)
-        pending = self._pending_by_organisation.pop(organisation, None)
-        if pending is not None:
-            pending.set(tokens)
-
     def _take(self, datagram: Datagram, address: tuple[str, int]) -> None:
         if datagram.tell is not None:
             self._address_by_vm[datagram.tell.vm] = address
@@ -255,7 +159,7 @@
             loan = Loan(ask.number, ask.organisation, lent)
             self._send(Datagram(loan=loan), address)
         elif datagram.loan is not None:
-            self._finish_ask(datagram.loan.number, datagram.loan.tokens)
+            self.borrower.take_loan(datagram.loan.number, datagram.loan.tokens)
         elif datagram.batch is not None:
             self._reading.take_batch(decode_batch(datagram.batch))
         elif datagram.suspect is not None:
@@ -266,8 +170,7 @@
         """Tell the other VMs of a request that has ended an upstream."""
         suspect = Suspect(report.fingerprint, report.deaths, report.duration)
         data = serialize(Datagram(suspect=suspect), _PROTOCOL)
-        for peer, _ in self._list_peers():
-            self._send_bytes(data, Endpoint.from_address(peer.peer_address).pair)
+        self._send_to([peer for peer, _ in self._list_peers()], data)
 
     def pass_on(self, batch: Batch) -> None:
         """Tell the VMs of this region what the store has told."""
@@ -276,8 +179,11 @@
             # They see that this VM knows more, and ask for it.
             return
         near, _ = self._split_peers()
-        for peer in near:
-            self._send_bytes(data, Endpoint.from_address(peer.peer_address).pair)
+        self._send_to(near, data)
+
+    def _address_of(self, vm: str) -> str:
+        host, port = self._address_by_vm[vm]
+        return f"{host}:{port}"
 
     def _split_peers(self) -> tuple[list[VmRecord], list[VmRecord]]:
         """Return the VMs of this region and the others, sorted by id."""
@@ -298,11 +204,7 @@
             standing=int(self._standing()),
             interval=round(interval),
         )
-        data = serialize(Datagram(tell=tell), _PROTOCOL)
-        for peer in peers:
-            address = Endpoint.from_address(peer.peer_address).pair
-            self._address_by_vm[peer.id] = address
-            self._send_bytes(data, address)
+        self._send_to(peers, serialize(Datagram(tell=tell), _PROTOCOL))
 
     def _take_spare(self) -> dict[str, int]:
         """Return what could be lent of some organisations, all of them in turn."""
@@ -314,6 +216,15 @@
         self._spare_told = first + SPARE_TOLD
         return {name: spare_by_id[name] for name in names[first : first + SPARE_TOLD]}
 
+    def _send_ask(self, vm: str, ask: Ask) -> None:
+        self._send(Datagram(ask=ask), self._address_by_vm[vm])
+
+    def _send_to(self, peers: Iterable[VmRecord], data: bytes) -> None:
+        for peer in peers:
+            address = Endpoint.from_address(peer.peer_address).pair
+            self._address_by_vm[peer.id] = address
+            self._send_bytes(data, address)
+
     def _send(self, datagram: Datagram, address: tuple[str, int]) -> None:
         self._send_bytes(serialize(datagram, _PROTOCOL), address)
 
--- a/lagoonlatch/entry/process.py
+++ b/lagoonlatch/entry/process.py
@@ -132,7 +132,7 @@
         self._peers.listen()
         self._spawn(self._peers.receive)
         self._spawn(self._peers.tell)
-        self._spawn(self._peers.borrow_ahead)
+        self._spawn(self._peers.borrower.borrow_ahead)
         self._news.serve(self._settings.peer_address)
         self._spawn(self._news_reader.run)
         self._spawn(self._sync.run)
@@ -193,7 +193,7 @@
             self._reading,
             self._sync,
             self._peers.addresses,
-            self._addresses_ahead,
+            self._peers.addresses_ahead,
             clock,
         )
         self._pool = ConnectionPool(clock)
@@ -230,7 +230,7 @@
             attempts,
             self._waiting,
             self._count_neighbours,
-            self._peers.borrow,
+            self._peers.borrower.borrow,
             quarantine,
             self._metrics,
             clock,
@@ -337,10 +337,6 @@
         ]
         return watch_wait(self._me.id, others, settle, self._clock.wall())
 
-    def _addresses_ahead(self, revision: int) -> list[str]:
-        addresses = map(self._peers.address_of, self._peer_table.ahead_of(revision))
-        return [address for address in addresses if address is not None]
-
     def _follow_roster(self, data_centre_by_vm: Mapping[str, str]) -> None:
         region_of = self._settings.region_by_data_centre.get
         self._holders.set_vms(
