--- a/lagoonlatch/entry/attempts.py
+++ b/lagoonlatch/entry/attempts.py
@@ -68,11 +68,7 @@
             Names the request and its repeats by the caller.
         """
         started = self._clock.now()
-        upstream.in_flight += 1
-        try:
-            outcome = self._exchange(upstream, request, time_left)
-        finally:
-            upstream.in_flight -= 1
+        outcome = self._exchange(upstream, request, time_left)
         duration = self._clock.now() - started
         self._learn(upstream, outcome, fingerprint)
         self._tell(upstream, request, outcome, duration)
@@ -126,7 +122,7 @@
                 outcome=name,
                 why=why,
                 took_ms=round(duration),
-                load=round(upstream.load(), 1),
+                load=upstream.load(),
             )
         )
 
@@ -170,4 +166,4 @@
         load = answer.fields.load
         if load is not None:
             # Its count holds this VM's other requests, and may hold this one.
-            upstream.report_load(load.running + load.waiting, upstream.in_flight)
+            upstream.note_others(load.running + load.waiting - upstream.in_flight)
--- a/lagoonlatch/entry/events.py
+++ b/lagoonlatch/entry/events.py
@@ -252,6 +252,14 @@
     why: str
 
 
+@log_event(logging.WARNING)
+class HomeSilent(LogEvent):
+    """The VM that counts an upstream's slots doesn't answer; the next one counts."""
+
+    subject: str
+    upstream: str
+
+
 @log_event(logging.WARNING)
 class DatagramUnreadable(LogEvent):
     """Bytes on the peers' port are no datagram of a peer."""
--- a/lagoonlatch/entry/handling.py
+++ b/lagoonlatch/entry/handling.py
@@ -7,7 +7,7 @@
 from http import HTTPStatus
 
 import xxhash
-from gevent.event import AsyncResult
+from gevent.event import AsyncResult, Event
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
 from lagoonlatch.entry.attempts import Attempts
@@ -26,6 +26,7 @@
     UpstreamRequest,
 )
 from lagoonlatch.entry.metrics import EntryMetrics
+from lagoonlatch.entry.slots import SlotClient
 from lagoonlatch.platform.headers import (
     is_own_request_field,
     own_request_fields,
@@ -34,7 +35,7 @@
 from lagoonlatch.steering.admission import Admission
 from lagoonlatch.steering.allowances import Allowances
 from lagoonlatch.steering.model import Organisation, Route
-from lagoonlatch.steering.placement import Placement, Wish
+from lagoonlatch.steering.placement import Candidates, Placement, Wish
 from lagoonlatch.steering.queueing import Urgency, WaitingRoom
 from lagoonlatch.steering.repeats import RepeatBudget
 from lagoonlatch.steering.splits import Splitter
@@ -119,7 +120,7 @@
         repeats: RepeatBudget,
         attempts: Attempts,
         waiting: WaitingRoom,
-        count_sharers: Callable[[], int],
+        slots: SlotClient,
         borrow: Callable[[str], bool],
         quarantine: Quarantine,
         metrics: EntryMetrics,
@@ -132,18 +133,25 @@
         self._repeats = repeats
         self._attempts = attempts
         self._waiting = waiting
-        self._count_sharers = count_sharers
+        self._slots = slots
         self._borrow = borrow
         self._quarantine = quarantine
         self._metrics = metrics
         self._clock = clock
         self._splitter = Splitter()
         self._is_closed = False
+        self._someone_waits = Event()
 
     def close(self) -> None:
         """Refuse further requests, since the VM is about to end."""
         self._is_closed = True
 
+    def await_waiters(self) -> None:
+        """Return when requests wait for a slot."""
+        if not len(self._waiting):
+            self._someone_waits.clear()
+        self._someone_waits.wait()
+
     def handle(self, request: CallerRequest) -> CallerAnswer:
         """Return the final answer to a request."""
         rules = self._facts.rules
@@ -225,15 +233,23 @@
             if upstream is None:
                 wait = self._admission.retry_delay(journey.route)
                 return self._give_up(journey, "no room", wait)
-            left = journey.deadline - self._clock.now()
-            if journey.reached and not self._repeats.take(journey.service):
-                return self._give_up(journey, "no repeats left")
-            answer = self._attempt(journey, upstream, left)
+            try:
+                answer = self._use_place(journey, upstream)
+            finally:
+                self._slots.release(upstream)
+            self._waiting.offer_slots()
             if answer is not None:
                 return answer
 
+    def _use_place(
+        self, journey: _Journey, upstream: UpstreamState
+    ) -> CallerAnswer | None:
+        if journey.reached and not self._repeats.take(journey.service):
+            return self._give_up(journey, "no repeats left")
+        return self._attempt(journey, upstream, journey.deadline - self._clock.now())
+
     def _find_place(self, journey: _Journey, left: Millis) -> UpstreamState | None:
-        """Return an upstream with a free slot, waiting for one while there is time."""
+        """Return an upstream of which a slot was taken; None if none is to be had."""
         route = journey.route
         candidates = self._placement.candidates(
             Wish(
@@ -247,25 +263,56 @@
         longest = self._admission.longest_wait(route, left)
         if not candidates.upstreams or longest <= 0.0:
             return None
+        started = self._clock.now()
+        try:
+            return self._take_slot(journey, candidates, longest)
+        finally:
+            waited = self._clock.now() - started
+            journey.waited += waited
+            self._metrics.waited(journey.service, waited)
+
+    def _take_slot(
+        self, journey: _Journey, candidates: Candidates, longest: Millis
+    ) -> UpstreamState | None:
+        """Take a slot of a candidate, waiting for one up to `longest`."""
         urgency = journey.urgency()
-        ahead = self._waiting.count_ahead(urgency, candidates)
-        if not ahead:
-            upstream = self._placement.pick(candidates, 0.0)
-            if upstream is not None:
+        number = self._waiting.take_number()
+        started = self._clock.now()
+        while True:
+            waited = self._clock.now() - started
+            ahead = self._waiting.count_ahead(number, urgency, candidates)
+            upstream = self._placement.pick(candidates, waited) if not ahead else None
+            if upstream is None:
+                first = candidates.upstreams[0]
+                expected = self._admission.expected_wait(
+                    journey.route, max(ahead, first.ahead()), first.record.slots
+                )
+                if expected > longest - waited or waited >= longest:
+                    return None
+                upstream = self._await_offer(
+                    number, urgency, candidates, waited, longest
+                )
+            if upstream is None:
+                return None
+            waited = self._clock.now() - started
+            if self._slots.claim(upstream, urgency.key(), number, waited):
                 return upstream
-        slots = candidates.upstreams[0].record.slots / self._count_sharers()
-        if self._admission.expected_wait(route, ahead, slots) > longest:
-            return None
+
+    def _await_offer(
+        self,
+        number: int,
+        urgency: Urgency,
+        candidates: Candidates,
+        waited: Millis,
+        longest: Millis,
+    ) -> UpstreamState | None:
         seat = Seat()
-        number = self._waiting.enter(urgency, candidates, seat)
-        since = self._clock.now()
+        self._waiting.enter(number, urgency, candidates, seat, waited)
+        self._someone_waits.set()
         try:
-            return seat.await_offer(longest)
+            return seat.await_offer(longest - waited)
         finally:
             self._waiting.leave(number)
-            waited = self._clock.now() - since
-            journey.waited += waited
-            self._metrics.waited(journey.service, waited)
 
     def _attempt(
         self, journey: _Journey, upstream: UpstreamState, left: Millis
@@ -281,7 +328,6 @@
             journey.route.id,
             journey.fingerprint,
         )
-        self._waiting.offer_slots()
         journey.last = upstream.record.id
         if not (isinstance(outcome, NotRun) and not outcome.reached):
             journey.reached += 1
--- a/lagoonlatch/entry/journal.py
+++ b/lagoonlatch/entry/journal.py
@@ -14,6 +14,7 @@
 
 import gevent
 import structlog
+from gevent.event import Event
 from gevent.os import nb_write
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
@@ -25,8 +26,8 @@
 LINES_PER_SECOND = 200
 """Lines of one kind in a second; several times an entry VM's usual requests."""
 
-FLUSH_INTERVAL: Millis = 50.0
-"""Between writes; one write carries the lines of this time."""
+FLUSH_INTERVAL: Millis = 100.0
+"""Between writes while there are lines; one write carries those of this time."""
 
 _OUTPUT_FULL = "output"
 
@@ -45,6 +46,7 @@
         self._capacity = capacity
         self._lines: deque[str] = deque()
         self._rest = b""
+        self._has_lines = Event()
         self.dropped = 0
 
     def write(self, text: str) -> None:
@@ -53,10 +55,17 @@
             self.dropped += 1
             return
         self._lines.append(text)
+        self._has_lines.set()
 
     def flush(self) -> None:
         """Do nothing; `drain` writes."""
 
+    def await_lines(self) -> None:
+        """Return when there is something to write."""
+        if not self._rest and not self._lines:
+            self._has_lines.clear()
+        self._has_lines.wait()
+
     def drain(self) -> None:
         """Write what the output takes now."""
         while self._rest or self._lines:
@@ -133,6 +142,7 @@
 def write_for_ever(queue: LineQueue) -> None:
     """Write queued lines as the output takes them."""
     while True:
+        queue.await_lines()
         gevent.sleep(FLUSH_INTERVAL / MILLIS_PER_SECOND)
         queue.drain()
         dropped, queue.dropped = queue.dropped, 0
--- a/lagoonlatch/entry/loans.py
+++ b/lagoonlatch/entry/loans.py
@@ -21,6 +21,9 @@
 LOAN_PAUSE: Millis = 100.0
 """Between rounds of borrowing ahead of demand."""
 
+IDLE_PAUSE: Millis = 400.0
+"""The same while no caller has asked for anything lately."""
+
 ASKED_MOST = 8
 """Holders that one request asks: those of its region and some others."""
 
@@ -52,21 +55,23 @@
         self._send_ask = send_ask
         self._clock = clock
         self._pending_by_organisation: dict[str, AsyncResult] = {}
-        self._organisation_by_number: dict[int, str] = {}
+        self._asked_by_number: dict[int, tuple[str, str]] = {}
         self._waiting_by_organisation: Counter[str] = Counter()
 
     def borrow_ahead(self) -> None:
         """Borrow for organisations that run short, for ever."""
         while True:
-            gevent.sleep(LOAN_PAUSE / MILLIS_PER_SECOND)
+            pause = IDLE_PAUSE if self._allowances.is_idle() else LOAN_PAUSE
+            gevent.sleep(pause / MILLIS_PER_SECOND)
             for organisation in self._allowances.wanted_by_id():
                 self._ask(organisation)
 
     def borrow(self, organisation: str) -> bool:
-        """Wait for loans; return whether one was given.
+        """Wait for loans; return whether there is a token to take now.
 
-        A VM that holds no part of the allowance asks one holder after the other, those
-        of its region first.
+        Requests that wait together share each loan; those that it leaves without a
+        token ask on. A VM that holds no part of the allowance asks one holder after the
+        other, those of its region first.
         """
         self._waiting_by_organisation[organisation] += 1
         try:
@@ -77,19 +82,26 @@
                 if pending is None:
                     return False
                 left = (end - self._clock.now()) / MILLIS_PER_SECOND
-                if pending.get(timeout=max(left, 0.0)):
+                pending.wait(timeout=max(left, 0.0))
+                if self._allowances.has_token(organisation):
                     return True
             return False
-        except gevent.Timeout:
-            return False
         finally:
             self._waiting_by_organisation[organisation] -= 1
 
-    def take_loan(self, number: int, tokens: int) -> None:
-        """Take in the answer to the ask called `number`; 0 tokens if none came."""
-        organisation = self._organisation_by_number.pop(number, None)
-        if organisation is None:
+    def take_loan(self, number: int, tokens: int, left: int = 0) -> None:
+        """Take in the answer to the ask called `number`; 0 tokens if none came.
+
+        Parameters
+        ----------
+        left : int
+            What the lender has left to lend.
+        """
+        asked = self._asked_by_number.pop(number, None)
+        if asked is None:
             return
+        lender, organisation = asked
+        self._table.note_spare(lender, organisation, left)
         self._allowances.receive(organisation, tokens)
         pending = self._pending_by_organisation.pop(organisation, None)
         if pending is not None:
@@ -112,7 +124,7 @@
         number = random.getrandbits(62)
         pending = AsyncResult()
         self._pending_by_organisation[organisation] = pending
-        self._organisation_by_number[number] = organisation
+        self._asked_by_number[number] = (lender, organisation)
         is_held = self._holders.part(organisation).is_held
         ask = Ask(self._me, number, organisation, wanted, not is_held)
         self._send_ask(lender, ask)
--- a/lagoonlatch/entry/news.py
+++ b/lagoonlatch/entry/news.py
@@ -11,6 +11,7 @@
 
 import gevent
 from gevent import socket
+from gevent.event import Event
 from gevent.server import StreamServer
 from returns.result import Failure, Result, Success
 from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
@@ -37,8 +38,8 @@
 BEHIND: Millis = 150.0
 """Others may know more for so long; what they pass on may be on its way."""
 
-LOOK_INTERVAL: Millis = 100.0
-"""How often a VM looks whether others know more."""
+LOOK_INTERVAL: Millis = 500.0
+"""How often a VM looks whether the store fails; what others know more wakes it."""
 
 CONNECT_TIMEOUT: Millis = 300.0
 """Some round trips between regions; a VM that is cut off answers nothing."""
@@ -115,15 +116,24 @@
         self._behind_since: Millis | None = None
         self._last_failed = ""
         self._asked: Millis = 0.0
+        self._told_ahead = Event()
 
     def run(self) -> None:
         """Ask for ever, whenever others know more or the store fails."""
         while True:
-            gevent.sleep(LOOK_INTERVAL / MILLIS_PER_SECOND)
+            self._told_ahead.wait(LOOK_INTERVAL / MILLIS_PER_SECOND)
+            self._told_ahead.clear()
             if not self._reading.revision and not self._sync.is_failing:
                 # The first reading is this VM's own.
                 continue
             self._look()
+            if self._behind_since is not None:
+                gevent.sleep(BEHIND / MILLIS_PER_SECOND)
+                self._look()
+
+    def note_ahead(self) -> None:
+        """Look soon, since another VM has told that it knows more."""
+        self._told_ahead.set()
 
     def _look(self) -> None:
         now = self._clock.now()
--- a/lagoonlatch/entry/peer.thrift
+++ b/lagoonlatch/entry/peer.thrift
@@ -13,8 +13,6 @@
   1: string vm,
   2: i64 run,
   3: bool leaving,
-  // Requests that this VM has at each upstream; those with none are left out.
-  4: map<string, i16> in_flight_by_upstream,
   // Whole tokens that it could lend, for some of the organisations in turn.
   5: map<string, i32> spare_by_organisation,
   // Of the store, up to which it knows all changes.
@@ -55,6 +53,45 @@
   1: i64 number,
   2: string organisation,
   3: i32 tokens,
+  // What the lender has left to lend.
+  4: i32 left,
+}
+
+// A VM wants a slot of an upstream, from the upstream's home VM.
+struct Claim {
+  1: string vm,
+  2: i64 number,
+  // Names the request; the same in all its claims.
+  3: i64 ticket,
+  4: string upstream,
+  // Requests that the VM has there, the wanted one included.
+  5: i32 held,
+  6: i32 organisation_priority,
+  7: i32 route_priority,
+  // Milliseconds that the request has waited.
+  8: i32 waited,
+}
+
+// Answers a Claim.
+struct Verdict {
+  1: i64 number,
+  2: bool granted,
+  // Requests that other VMs have there.
+  3: i32 others,
+  // Requests that wait for the upstream and go first.
+  4: i32 ahead,
+}
+
+// Requests that a VM has at upstreams, for their home.
+struct Counts {
+  1: string vm,
+  2: map<string, i32> held_by_upstream,
+}
+
+// An upstream has a free slot, for the next request that waits at this VM.
+struct Room {
+  1: string upstream,
+  2: i32 others,
 }
 
 // A request that has ended upstreams which ran it.
@@ -72,6 +109,10 @@
   3: optional Loan loan,
   4: optional Suspect suspect,
   5: optional Batch batch,
+  6: optional Claim claim,
+  7: optional Verdict verdict,
+  8: optional Counts counts,
+  9: optional Room room,
 }
 
 struct Item {
--- a/lagoonlatch/entry/peers.py
+++ b/lagoonlatch/entry/peers.py
@@ -1,35 +1,56 @@
-"""Datagrams between the entry VMs: loads, tokens, suspects."""
+"""Datagrams between the entry VMs: presence, tokens, slots, news, suspects."""
 
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Sequence
+from typing import Any
 
-import gevent
 from gevent import socket
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
 from thrift.TSerialization import deserialize, serialize
 
-from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
+from lagoonlatch.clock import Clock, Millis
 from lagoonlatch.entry.events import DatagramLost, DatagramUnreadable
-from lagoonlatch.entry.generated.ttypes import Ask, Datagram, Loan, Suspect, Tell
+from lagoonlatch.entry.generated.ttypes import (
+    Ask,
+    Claim,
+    Counts,
+    Datagram,
+    Loan,
+    Room,
+    Suspect,
+    Tell,
+    Verdict,
+)
+from lagoonlatch.entry.generated.ttypes import Batch as WireBatch
 from lagoonlatch.entry.journal import emit
 from lagoonlatch.entry.loans import Borrower
 from lagoonlatch.entry.news import decode_batch, encode_batch
 from lagoonlatch.entry.reading import Batch, StoreReading
+from lagoonlatch.entry.slots import SlotClient
 from lagoonlatch.platform.endpoint import Endpoint
 from lagoonlatch.steering.allowances import Allowances
 from lagoonlatch.steering.holders import Holders
 from lagoonlatch.steering.model import VmRecord
-from lagoonlatch.steering.peers import PeerTable, Telling, count_turns, take_turn
+from lagoonlatch.steering.neighbours import Neighbours
+from lagoonlatch.steering.peers import PeerTable, Rounds, Telling
 from lagoonlatch.steering.watchers import Standing
 from lagoonlatch.upstreams.quarantine import Quarantine, SuspectReport
 
-NEAR_INTERVAL: Millis = 100.0
-"""Between tells to VMs of the region, with which the upstreams are shared; a part of
-the shortest work."""
+TELL_INTERVAL: Millis = 250.0
+"""Between rounds of tells; several fit into the time after which a VM counts as
+silent."""
 
 FAR_EVERY = 4
-"""VMs of other regions are told every so many intervals; their bytes cost more."""
+"""VMs of other regions are told every so many rounds; their bytes cost more."""
+
+NEAR = Rounds(most=4, interval=TELL_INTERVAL)
+FAR = Rounds(most=8, interval=TELL_INTERVAL * FAR_EVERY)
+"""Rounds of most VMs, within 24 datagrams a second."""
+
+WATCHER_NEAR = Rounds(most=32, interval=TELL_INTERVAL)
+WATCHER_FAR = Rounds(most=32, interval=TELL_INTERVAL * FAR_EVERY)
+"""Rounds of the few VMs that follow the store, whose silence must be seen sooner."""
 
 MAX_DATAGRAM = 8_192
 """Largest datagram that is read; what VMs tell stays far below."""
@@ -38,9 +59,25 @@
 """Organisations whose spare tokens one tell names; a datagram stays small with any
 number of them, and a dozen tells a second name all."""
 
+Address = tuple[str, int]
+Taker = Callable[["PeerLink", Any, Address], None]
+
+_TAKER_BY_KIND: dict[str, Taker] = {}
+"""What takes in each kind of datagram, by the name of its field."""
+
 _PROTOCOL = TCompactProtocolAcceleratedFactory()
 
 
+def _takes(kind: str) -> Callable[[Taker], Taker]:
+    """Register a method that takes in datagrams of a kind."""
+
+    def register(taker: Taker) -> Taker:
+        _TAKER_BY_KIND[kind] = taker
+        return taker
+
+    return register
+
+
 class PeerLink:
     """The datagram socket of a VM.
 
@@ -48,10 +85,8 @@
     ----------
     me : VmRecord
         This VM.
-    list_peers : callable
-        Returns the other VMs, those of this region with True.
-    in_flight_by_upstream : callable
-        Returns this VM's requests at each upstream.
+    neighbours : Neighbours
+        The other VMs.
     is_leaving : callable
         Returns whether this VM leaves.
     standing : callable
@@ -60,6 +95,10 @@
         Takes in what other VMs pass on.
     holders : Holders
         Who may have tokens to lend.
+    slots : SlotClient
+        Claims slots, and answers the claims of others.
+    on_ahead : callable
+        Is called when another VM has told that it knows later changes.
 
     Attributes
     ----------
@@ -70,20 +109,23 @@
     def __init__(
         self,
         me: VmRecord,
-        list_peers: Callable[[], Iterable[tuple[VmRecord, bool]]],
-        in_flight_by_upstream: Callable[[], dict[str, int]],
+        neighbours: Neighbours,
         is_leaving: Callable[[], bool],
         standing: Callable[[], Standing],
         reading: StoreReading,
         holders: Holders,
         allowances: Allowances,
         quarantine: Quarantine,
+        slots: SlotClient,
+        on_ahead: Callable[[], None],
         table: PeerTable,
         clock: Clock,
     ) -> None:
         self._me = me
-        self._list_peers = list_peers
-        self._in_flight_by_upstream = in_flight_by_upstream
+        self._neighbours = neighbours
+        self._slots = slots
+        self._on_ahead = on_ahead
+        self._turn = 0
         self._is_leaving = is_leaving
         self._standing = standing
         self._reading = reading
@@ -104,7 +146,7 @@
 
     def addresses(self) -> list[str]:
         """Return where other VMs listen: those known from the store or heard."""
-        known = [vm.peer_address for vm, _ in self._list_peers()]
+        known = [vm.peer_address for vm in self._neighbours.all()]
         heard = filter(self._table.is_heard, self._address_by_vm)
         return list(dict.fromkeys([*known, *map(self._address_of, heard)]))
 
@@ -112,23 +154,21 @@
         """Return where VMs listen that know later changes of the store."""
         return list(map(self._address_of, self._table.ahead_of(revision)))
 
-    def tell(self) -> None:
-        """Tell the other VMs for ever."""
-        turn = 0
-        while True:
-            near, far = self._split_peers()
-            interval = NEAR_INTERVAL * count_turns(len(near))
-            self._tell_peers(take_turn(near, turn), interval)
-            if turn % FAR_EVERY == 0:
-                interval = NEAR_INTERVAL * FAR_EVERY * count_turns(len(far))
-                self._tell_peers(take_turn(far, turn // FAR_EVERY), interval)
-            turn += 1
-            gevent.sleep(NEAR_INTERVAL / MILLIS_PER_SECOND)
+    def tell_round(self) -> None:
+        """Tell the VMs whose turn it is."""
+        near, far = self._neighbours.near, self._neighbours.far
+        watches = self._standing() is Standing.WATCHES
+        rounds = WATCHER_NEAR if watches else NEAR
+        self._tell_peers(rounds.take_turn(near, self._turn), rounds.cycle(len(near)))
+        if self._turn % FAR_EVERY == 0:
+            rounds = WATCHER_FAR if watches else FAR
+            told = rounds.take_turn(far, self._turn // FAR_EVERY)
+            self._tell_peers(told, rounds.cycle(len(far)))
+        self._turn += 1
 
     def tell_leaving(self) -> None:
         """Tell all at once that this VM leaves."""
-        near, far = self._split_peers()
-        self._tell_peers(near + far, NEAR_INTERVAL)
+        self._tell_peers(self._neighbours.all(), TELL_INTERVAL)
 
     def receive(self) -> None:
         """Take datagrams for ever."""
@@ -139,38 +179,73 @@
                 # A peer's closed port is reported on the socket.
                 emit(DatagramLost(peer="", why=str(error)))
                 continue
-            try:
-                datagram = deserialize(Datagram(), data, _PROTOCOL)
-            except Exception as error:
-                # Whatever the codec raises: the bytes are no datagram of a peer.
-                emit(DatagramUnreadable(source=address[0], why=repr(error)))
-                continue
-            self._take(datagram, address)
-
-    def _take(self, datagram: Datagram, address: tuple[str, int]) -> None:
-        if datagram.tell is not None:
-            self._address_by_vm[datagram.tell.vm] = address
-            self._table.hear(_to_telling(datagram.tell))
-        elif datagram.ask is not None:
-            ask = datagram.ask
-            lent = self._allowances.lend(
-                ask.organisation, ask.tokens, bool(ask.for_callers)
-            )
-            loan = Loan(ask.number, ask.organisation, lent)
-            self._send(Datagram(loan=loan), address)
-        elif datagram.loan is not None:
-            self.borrower.take_loan(datagram.loan.number, datagram.loan.tokens)
-        elif datagram.batch is not None:
-            self._reading.take_batch(decode_batch(datagram.batch))
-        elif datagram.suspect is not None:
-            told = datagram.suspect
-            self._quarantine.report(told.fingerprint, told.deaths, told.duration)
+            self.take(data, address)
+
+    def take(self, data: bytes, address: Address) -> None:
+        """Take in one datagram, whatever it holds."""
+        try:
+            datagram = deserialize(Datagram(), data, _PROTOCOL)
+            for kind, taker in _TAKER_BY_KIND.items():
+                message = getattr(datagram, kind)
+                if message is not None:
+                    taker(self, message, address)
+        except Exception as error:
+            # Whatever it raises: the bytes are no sound datagram of a peer, and one
+            # of them must not end the VM.
+            emit(DatagramUnreadable(source=address[0], why=repr(error)))
+
+    @_takes("tell")
+    def _take_tell(self, tell: Tell, address: Address) -> None:
+        telling = _to_telling(tell)
+        self._address_by_vm[tell.vm] = address
+        self._table.hear(telling)
+        if telling.is_leaving:
+            self._neighbours.forget()
+        if telling.revision > self._reading.revision:
+            self._on_ahead()
+
+    @_takes("ask")
+    def _take_ask(self, ask: Ask, address: Address) -> None:
+        lent = self._allowances.lend(
+            ask.organisation, ask.tokens, bool(ask.for_callers)
+        )
+        left = self._allowances.spare(ask.organisation)
+        loan = Loan(ask.number, ask.organisation, lent, left)
+        self._send(Datagram(loan=loan), address)
+
+    @_takes("loan")
+    def _take_loan(self, loan: Loan, _address: Address) -> None:
+        self.borrower.take_loan(loan.number, loan.tokens, loan.left)
+
+    @_takes("batch")
+    def _take_batch(self, batch: WireBatch, _address: Address) -> None:
+        self._reading.take_batch(decode_batch(batch))
+
+    @_takes("suspect")
+    def _take_suspect(self, told: Suspect, _address: Address) -> None:
+        self._quarantine.report(told.fingerprint, told.deaths, told.duration)
+
+    @_takes("claim")
+    def _take_claim(self, claim: Claim, address: Address) -> None:
+        self._send(Datagram(verdict=self._slots.answer_claim(claim)), address)
+
+    @_takes("verdict")
+    def _take_verdict(self, verdict: Verdict, _address: Address) -> None:
+        self._slots.take_verdict(verdict)
+
+    @_takes("counts")
+    def _take_counts(self, counts: Counts, _address: Address) -> None:
+        self._slots.take_counts(counts)
+
+    @_takes("room")
+    def _take_room(self, room: Room, _address: Address) -> None:
+        self._slots.take_room(room)
 
     def tell_suspect(self, report: SuspectReport) -> None:
         """Tell the other VMs of a request that has ended an upstream."""
         suspect = Suspect(report.fingerprint, report.deaths, report.duration)
         data = serialize(Datagram(suspect=suspect), _PROTOCOL)
-        self._send_to([peer for peer, _ in self._list_peers()], data)
+        self._send_to(self._neighbours.all(), data)
 
     def pass_on(self, batch: Batch) -> None:
         """Tell the VMs of this region what the store has told."""
@@ -178,19 +253,16 @@
         if len(data) > MAX_DATAGRAM:
             # They see that this VM knows more, and ask for it.
             return
-        near, _ = self._split_peers()
-        self._send_to(near, data)
+        self._send_to(self._neighbours.near, data)
+
+    def send(self, vm: VmRecord, datagram: Datagram) -> None:
+        """Send a datagram to one VM."""
+        self._send(datagram, Endpoint.from_address(vm.peer_address).pair)
 
     def _address_of(self, vm: str) -> str:
         host, port = self._address_by_vm[vm]
         return f"{host}:{port}"
 
-    def _split_peers(self) -> tuple[list[VmRecord], list[VmRecord]]:
-        """Return the VMs of this region and the others, sorted by id."""
-        peers = sorted(self._list_peers(), key=lambda peer: peer[0].id)
-        near = [vm for vm, is_near in peers if is_near]
-        return near, [vm for vm, is_near in peers if not is_near]
-
     def _tell_peers(self, peers: Sequence[VmRecord], interval: Millis) -> None:
         if not peers:
             return
@@ -198,7 +270,6 @@
             vm=self._me.id,
             run=self._me.run,
             leaving=self._is_leaving(),
-            in_flight_by_upstream=self._in_flight_by_upstream(),
             spare_by_organisation=self._take_spare(),
             revision=self._reading.revision,
             standing=int(self._standing()),
@@ -208,13 +279,10 @@
 
     def _take_spare(self) -> dict[str, int]:
         """Return what could be lent of some organisations, all of them in turn."""
-        spare_by_id = self._allowances.spare_by_id()
-        names = sorted(spare_by_id)
-        if len(names) <= SPARE_TOLD:
-            return spare_by_id
-        first = self._spare_told % len(names)
+        names = self._allowances.names()
+        first = self._spare_told % max(len(names), 1)
         self._spare_told = first + SPARE_TOLD
-        return {name: spare_by_id[name] for name in names[first : first + SPARE_TOLD]}
+        return self._allowances.spare_by_id(names[first : first + SPARE_TOLD])
 
     def _send_ask(self, vm: str, ask: Ask) -> None:
         self._send(Datagram(ask=ask), self._address_by_vm[vm])
@@ -240,7 +308,6 @@
         vm=tell.vm,
         run=tell.run,
         is_leaving=tell.leaving,
-        in_flight_by_upstream=tell.in_flight_by_upstream or {},
         spare_by_organisation=tell.spare_by_organisation or {},
         revision=tell.revision or 0,
         standing=Standing(tell.standing or 0),
--- a/lagoonlatch/entry/sync.py
+++ b/lagoonlatch/entry/sync.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 import gevent
+from gevent.event import Event
 from returns.result import Failure
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
@@ -36,9 +37,6 @@
 RETRY_MOST: Millis = 500.0
 """Bounds of the growing pause between calls to a store that fails."""
 
-LISTEN_POLL: Millis = 100.0
-"""How often a VM that listens looks whether it must watch."""
-
 FIRST_READING: Millis = 1_000.0
 """At the first start of all, VMs read after they have registered, so that one reading
 shows all of them; they start within 0.3 s of each other."""
@@ -89,6 +87,7 @@
         self._standing = Standing.LISTENS
         self._failing_since: Millis | None = None
         self._pause = RETRY_FIRST
+        self._must_watch = Event()
         self.is_gathering = False
 
     @property
@@ -113,10 +112,16 @@
         while True:
             self._step()
 
+    def look(self) -> None:
+        """Begin to watch if nobody else of the region does; called now and then."""
+        if not self._must_watch.is_set() and self._should_watch():
+            self._must_watch.set()
+
     def _step(self) -> None:
         if not self._needs_reading and not self._should_watch():
             self._stand(Standing.LISTENS)
-            gevent.sleep(LISTEN_POLL / MILLIS_PER_SECOND)
+            self._must_watch.clear()
+            self._must_watch.wait()
             return
         sent = self._clock.now()
         failure = self._read() if self._needs_reading else self._follow()
--- a/lagoonlatch/steering/allowances.py
+++ b/lagoonlatch/steering/allowances.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
 from lagoonlatch.steering.holders import Part
@@ -97,6 +97,8 @@
         self._starts_full = starts_full
         self._clock = clock
         self._buckets_by_id: dict[str, _Bucket] = {}
+        self._names: list[str] = []
+        self._active: set[str] = set()
 
     def configure(self, organisations_by_id: Mapping[str, Organisation]) -> None:
         """Follow the configuration; levels stay, within the new bursts."""
@@ -113,6 +115,7 @@
             bucket.level = min(bucket.level, self._depth(organisation))
             buckets[organisation.id] = bucket
         self._buckets_by_id = buckets
+        self._names = sorted(buckets)
 
     def follow_parts(self) -> None:
         """Keep no more than this VM's parts, which have changed."""
@@ -126,6 +129,7 @@
             return None
         self._fill(bucket)
         bucket.note_demand(self._clock.now())
+        self._active.add(organisation)
         return self._spend(bucket)
 
     def retake(self, organisation: str) -> Millis | None:
@@ -136,24 +140,44 @@
         self._fill(bucket)
         return self._spend(bucket)
 
+    def has_token(self, organisation: str) -> bool:
+        """Return whether `retake` would find a token."""
+        bucket = self._buckets_by_id.get(organisation)
+        if bucket is None:
+            return True
+        self._fill(bucket)
+        return bucket.level >= 1.0
+
     def give_back(self, organisation: str) -> None:
         """Return the token of a request that reached no upstream."""
         bucket = self._buckets_by_id.get(organisation)
         if bucket is not None:
             bucket.level += 1.0
 
-    def spare_by_id(self) -> dict[str, int]:
-        """Return the whole tokens that could be lent, by organisation.
+    def names(self) -> list[str]:
+        """Return the organisations with an allowance, sorted."""
+        return self._names
+
+    def spare(self, organisation: str) -> int:
+        """Return the whole tokens that could be lent."""
+        bucket = self._buckets_by_id.get(organisation)
+        if bucket is None:
+            return 0
+        self._fill(bucket)
+        return self._spare(bucket)
+
+    def spare_by_id(self, names: Sequence[str] | None = None) -> dict[str, int]:
+        """Return the whole tokens that could be lent, of `names` or of all.
 
         Those that this VM holds a part of are named also if there are none.
         """
-        spare_by_id = {}
-        for name, bucket in self._buckets_by_id.items():
-            self._fill(bucket)
-            spare = self._spare(bucket)
-            if spare or self._part_of(name).is_held:
-                spare_by_id[name] = spare
-        return spare_by_id
+        asked = self._names if names is None else names
+        spare_by_id = {name: self.spare(name) for name in asked}
+        return {
+            name: spare
+            for name, spare in spare_by_id.items()
+            if spare or self._part_of(name).is_held
+        }
 
     def lend(self, organisation: str, wanted: int, for_callers: bool = False) -> int:
         """Take off up to `wanted` tokens for another VM and return how many.
@@ -170,6 +194,7 @@
         self._fill(bucket)
         if for_callers:
             bucket.note_lent(self._clock.now(), wanted)
+            self._active.add(organisation)
         lent = min(self._spare(bucket), wanted)
         bucket.level -= lent
         return lent
@@ -183,12 +208,19 @@
     def wanted_by_id(self) -> dict[str, int]:
         """Return the tokens to borrow, by organisation that runs short here."""
         wanted_by_id = {}
-        for name in self._buckets_by_id:
+        for name in list(self._active):
             wanted = self.wanted(name)
             if wanted > 0:
                 wanted_by_id[name] = wanted
+            bucket = self._buckets_by_id.get(name)
+            if bucket is None or bucket.demand + bucket.lent < QUIET:
+                self._active.discard(name)
         return wanted_by_id
 
+    def is_idle(self) -> bool:
+        """Return whether no organisation was asked for lately."""
+        return not self._active
+
     def wanted(self, organisation: str, waiting: int = 0) -> int:
         """Return the tokens to borrow now; 0 if there are enough.
 
--- /dev/null
+++ b/lagoonlatch/steering/neighbours.py
@@ -0,0 +1,107 @@
+"""The other VMs that count as present, near and far.
+
+The load answered here: fleets of hundreds of VMs, whose lists are asked for at each
+request and each look-up. They are made anew when a fact changes, and otherwise only
+once in a while, since who is heard changes with time too.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+from lagoonlatch.clock import Clock, Millis
+from lagoonlatch.steering.model import VmRecord
+from lagoonlatch.steering.peers import PeerTable
+
+VIEW_AGE: Millis = 250.0
+"""Longest age of the lists; a part of the time after which a VM counts as silent."""
+
+
+@dataclass(frozen=True)
+class _View:
+    near: tuple[VmRecord, ...]
+    far: tuple[VmRecord, ...]
+    made: Millis
+
+
+class Neighbours:
+    """The other VMs as this VM sees them.
+
+    Parameters
+    ----------
+    me : VmRecord
+        This VM.
+    known_vms : callable
+        Returns the newest entry of each VM, by id, also of those whose entry is gone.
+    live_vms : callable
+        Returns the VMs with a live entry, by id.
+    """
+
+    def __init__(
+        self,
+        me: VmRecord,
+        region_by_data_centre: Mapping[str, str],
+        known_vms: Callable[[], Mapping[str, VmRecord]],
+        live_vms: Callable[[], Mapping[str, VmRecord]],
+        table: PeerTable,
+        clock: Clock,
+    ) -> None:
+        self._me = me
+        self._region_by_data_centre = region_by_data_centre
+        self._known_vms = known_vms
+        self._live_vms = live_vms
+        self._table = table
+        self._clock = clock
+        self._view: _View | None = None
+
+    @property
+    def near(self) -> tuple[VmRecord, ...]:
+        """The other VMs of this region, sorted by id."""
+        return self._current().near
+
+    @property
+    def far(self) -> tuple[VmRecord, ...]:
+        """The VMs of other regions, sorted by id."""
+        return self._current().far
+
+    def all(self) -> list[VmRecord]:
+        """Return all other VMs."""
+        view = self._current()
+        return [*view.near, *view.far]
+
+    def ready(self) -> list[VmRecord]:
+        """Return the VMs that take requests, without those that fell silent."""
+        vms = [vm for vm in self.all() if vm.is_ready]
+        heard = [vm for vm in vms if not self._table.is_silent(vm.id)]
+        # A VM that hears few others is cut off itself.
+        return heard if len(heard) * 2 >= len(vms) else vms
+
+    def forget(self) -> None:
+        """Make the lists anew at the next question, since a fact has changed."""
+        self._view = None
+
+    def _current(self) -> _View:
+        view = self._view
+        now = self._clock.now()
+        if view is None or now - view.made >= VIEW_AGE:
+            view = self._view = self._make(now)
+        return view
+
+    def _make(self, now: Millis) -> _View:
+        near, far = [], []
+        region_of = self._region_by_data_centre.get
+        own_region = region_of(self._me.data_centre)
+        for _, vm in sorted(self._known_vms().items()):
+            if self._is_present(vm):
+                is_near = region_of(vm.data_centre) == own_region
+                (near if is_near else far).append(vm)
+        return _View(tuple(near), tuple(far), now)
+
+    def _is_present(self, vm: VmRecord) -> bool:
+        """Return whether a VM has a live entry, or is still heard without one."""
+        return (
+            vm.id != self._me.id
+            and not self._table.is_leaving(vm.id, vm.run)
+            and (vm.id in self._live_vms() or self._table.is_heard(vm.id))
+        )
--- a/lagoonlatch/steering/placement.py
+++ b/lagoonlatch/steering/placement.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import math
+import random
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass
@@ -152,7 +153,7 @@
 
     def has_room(self, state: UpstreamState) -> bool:
         """Return whether a slot seems free at an upstream."""
-        return self._fleet.is_usable(state) and state.load() + 1.0 <= state.record.slots
+        return self._fleet.is_usable(state) and state.load() < state.record.slots
 
 
 def _mean(values: Sequence[float]) -> float:
@@ -200,7 +201,8 @@
     return -math.log(part) / weight
 
 
-def _order(affinity: str) -> Callable[[UpstreamState], float]:
+def _order(affinity: str) -> Callable[[UpstreamState], float | tuple[float, float]]:
     if not affinity:
-        return lambda state: state.load() / state.record.slots
+        # Those that nothing is known of are alike; a fixed order would fill the first.
+        return lambda state: (state.load() / state.record.slots, random.random())
     return lambda state: hash_of(affinity, state.record.id)
--- a/lagoonlatch/steering/queueing.py
+++ b/lagoonlatch/steering/queueing.py
@@ -65,31 +65,40 @@
     def __len__(self) -> int:
         return len(self._waiters)
 
-    def enter(self, urgency: Urgency, candidates: Candidates, seat: Seat) -> int:
-        """Queue a request and return its number, which `leave` takes."""
-        number = self._next_number
+    def take_number(self) -> int:
+        """Return the number of a request, which keeps its place among equals."""
         self._next_number += 1
+        return self._next_number
+
+    def enter(
+        self,
+        number: int,
+        urgency: Urgency,
+        candidates: Candidates,
+        seat: Seat,
+        waited: Millis = 0.0,
+    ) -> None:
+        """Queue the request called `number`, which has `waited` already."""
         self._waiters.append(
             _Waiter(
                 urgency=urgency,
                 number=number,
                 candidates=candidates,
-                since=self._clock.now(),
+                since=self._clock.now() - waited,
                 seat=seat,
             )
         )
         self._waiters.sort(key=_Waiter.key)
-        return number
 
     def leave(self, number: int) -> None:
         """Forget a request that waits no more."""
         self._waiters = [w for w in self._waiters if w.number != number]
 
-    def count_ahead(self, urgency: Urgency, candidates: Candidates) -> int:
-        """Return how many requests, as urgent or more, wait for the first candidate."""
+    def count_ahead(self, number: int, urgency: Urgency, candidates: Candidates) -> int:
+        """Return how many requests wait for the first candidate and go first."""
         first = candidates.upstreams[0]
         return sum(
-            waiter.urgency.key() <= urgency.key()
+            waiter.key() < (urgency.key(), number)
             and waiter.candidates.upstreams[0] is first
             for waiter in self._waiters
         )
--- a/lagoonlatch/steering/upstreams.py
+++ b/lagoonlatch/steering/upstreams.py
@@ -4,14 +4,14 @@
 
 import math
 from collections import OrderedDict, defaultdict
-from collections.abc import Callable, Iterable, Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 
 from lagoonlatch.clock import Clock, Millis
 from lagoonlatch.steering.model import Service, UpstreamRecord
 
-LOAD_MEMORY: Millis = 700.0
-"""Time constant with which a reported load of other VMs gives way to the guess that
-they send as much as this one; about the time of two requests."""
+BELIEF: Millis = 300.0
+"""How long the requests of other VMs stay as told; after that the upstream's home is
+asked again."""
 
 WARM_OBJECTS = 24
 """Objects that an upstream is taken to remember; it doesn't say how many it does."""
@@ -40,8 +40,6 @@
         self,
         record: UpstreamRecord,
         region: str,
-        count_sharers: Callable[[], int],
-        requests_of_others: Callable[[str], int | None],
         clock: Clock,
     ) -> None:
         self.record = record
@@ -51,22 +49,25 @@
         self.is_suspect = False
         self.is_gone = False
         self._clock = clock
-        self._count_sharers = count_sharers
-        self._requests_of_others = requests_of_others
         self._objects: OrderedDict[str, None] = OrderedDict()
         self._cold_until: Millis = -math.inf
-        self._others = 0.0
-        self._reported: Millis = -math.inf
-
-    def load(self) -> float:
-        """Return the estimated number of requests that it runs or queues."""
-        told = self._requests_of_others(self.record.id)
-        if told is not None:
-            return self.in_flight + told
-        age = self._clock.now() - self._reported
-        trust = math.exp(-age / LOAD_MEMORY)
-        guess = self.in_flight * (self._count_sharers() - 1)
-        return self.in_flight + self._others * trust + guess * (1.0 - trust)
+        self._others = 0
+        self._ahead = 0
+        self._told: Millis = -math.inf
+
+    def load(self) -> int:
+        """Return the requests that it has, as far as this VM was told lately."""
+        return self.in_flight + (self._others if self._is_told() else 0)
+
+    def ahead(self) -> int:
+        """Return the requests of all VMs that wait for it, as told lately."""
+        return self._ahead if self._is_told() else 0
+
+    def note_others(self, requests: int, ahead: int = 0) -> None:
+        """Take in the requests that other VMs have there, and those that wait."""
+        self._others = max(requests, 0)
+        self._ahead = ahead
+        self._told = self._clock.now()
 
     def note_object(self, name: str) -> None:
         """Remember that it was sent a request for the object `name`."""
@@ -79,11 +80,6 @@
         """Return whether it is likely to be fast for the object `name`."""
         return name in self._objects
 
-    def report_load(self, requests: int, own: int) -> None:
-        """Take in its own count of `requests`, `own` of which were this VM's."""
-        self._others = max(float(requests - own), 0.0)
-        self._reported = self._clock.now()
-
     def note_success(self) -> None:
         """Count an attempt that it answered."""
         self.failure_share *= 1.0 - FAILURE_MEMORY
@@ -92,6 +88,9 @@
         """Count an attempt that it failed."""
         self.failure_share += FAILURE_MEMORY * (1.0 - self.failure_share)
 
+    def _is_told(self) -> bool:
+        return self._clock.now() - self._told < BELIEF
+
     def is_cold(self) -> bool:
         """Return whether it bears few requests as yet."""
         return self._clock.now() < self._cold_until
@@ -122,13 +121,9 @@
     def __init__(
         self,
         region_by_data_centre: Mapping[str, str],
-        count_sharers: Callable[[], int],
-        requests_of_others: Callable[[str], int | None],
         clock: Clock,
     ) -> None:
         self._region_by_data_centre = region_by_data_centre
-        self._count_sharers = count_sharers
-        self._requests_of_others = requests_of_others
         self._clock = clock
         self._states_by_id: dict[str, UpstreamState] = {}
         self._states_by_service: dict[str, dict[str, UpstreamState]] = defaultdict(dict)
@@ -208,6 +203,11 @@
         """Return the ids of all upstreams."""
         return frozenset(self._states_by_id)
 
+    def slots_of(self, upstream_id: str) -> int | None:
+        """Return the slots of an upstream; None if it isn't known."""
+        state = self._states_by_id.get(upstream_id)
+        return state.record.slots if state is not None else None
+
     def usable(self, service: str) -> Iterator[UpstreamState]:
         """Return the upstreams of a service that may get requests."""
         return filter(self.is_usable, self.of_service(service))
@@ -224,9 +224,7 @@
     def _add(
         self, record: UpstreamRecord, region: str, was_running: bool
     ) -> UpstreamState:
-        state = UpstreamState(
-            record, region, self._count_sharers, self._requests_of_others, self._clock
-        )
+        state = UpstreamState(record, region, self._clock)
         self._states_by_id[record.id] = state
         self._states_by_service[record.service][record.id] = state
         remembered = self._born_by_id.pop(record.id, None)
--- /dev/null
+++ b/tests/entry/test_peers.py
@@ -0,0 +1,101 @@
+"""What a VM does with datagrams, whatever they hold."""
+
+import os
+import random
+
+import pytest
+from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
+from thrift.TSerialization import serialize
+
+from lagoonlatch.entry import peers
+from lagoonlatch.entry.generated import ttypes as wire
+from lagoonlatch.entry.peers import PeerLink
+from lagoonlatch.standins.manual_clock import ManualClock
+from lagoonlatch.steering.allowances import Allowances
+from lagoonlatch.steering.holders import Holders
+from lagoonlatch.steering.peers import PeerTable
+from lagoonlatch.steering.watchers import Standing
+from lagoonlatch.upstreams.quarantine import Quarantine
+from tests.entry.test_reading import Vm
+from tests.entry.test_slots import Net
+from tests.steering.test_homes import make_vm
+
+SOURCE = ("127.0.0.1", 9)
+PROTOCOL = TCompactProtocolAcceleratedFactory()
+
+
+class Nobody:
+    """Neighbours of a VM alone."""
+
+    near = far = ()
+
+    def all(self):
+        return []
+
+    def forget(self):
+        pass
+
+
+def make_link():
+    clock = ManualClock()
+    holders = Holders("vm-0", "north")
+    return PeerLink(
+        make_vm("vm-0", "n-a"),
+        Nobody(),
+        lambda: False,
+        lambda: Standing.LISTENS,
+        Vm().reading,
+        holders,
+        Allowances(holders.part, True, clock),
+        Quarantine(clock, death_limit=3),
+        Net().vm_by_id["vm-0"],
+        lambda: None,
+        PeerTable(clock),
+        clock,
+    )
+
+
+def encode(datagram):
+    return serialize(datagram, PROTOCOL)
+
+
+ODD = {
+    "an unknown standing": wire.Datagram(
+        tell=wire.Tell(vm="v", run=1, leaving=False, standing=99, interval=1)
+    ),
+    "a tell without fields": wire.Datagram(tell=wire.Tell()),
+    "an ask without tokens": wire.Datagram(ask=wire.Ask(organisation="o")),
+    "a loan without tokens": wire.Datagram(loan=wire.Loan(number=1)),
+    "a batch without changes": wire.Datagram(batch=wire.Batch(since=1, until=2)),
+    "a suspect without deaths": wire.Datagram(suspect=wire.Suspect(fingerprint="f")),
+    "a claim without a count": wire.Datagram(claim=wire.Claim(vm="v", upstream="u1")),
+    "counts of nothing": wire.Datagram(counts=wire.Counts(vm="v")),
+    "room nowhere": wire.Datagram(room=wire.Room()),
+    "nothing": wire.Datagram(),
+}
+
+
+@pytest.mark.parametrize("name", ODD)
+def test_a_datagram_of_a_peer_that_makes_no_sense_is_passed_over(name):
+    """An error here would end the task that receives, and with it the VM."""
+    make_link().take(encode(ODD[name]), SOURCE)
+
+
+def test_bytes_that_are_no_datagram_are_passed_over(monkeypatch):
+    told = []
+    monkeypatch.setattr(peers, "emit", told.append)
+    link = make_link()
+    generator = random.Random(7)
+    sound = [encode(datagram) for datagram in ODD.values()]
+    for _ in range(500):
+        data = bytearray(generator.choice(sound) or b"\0")
+        for _ in range(generator.randint(1, 4)):
+            data[generator.randrange(len(data))] = generator.randrange(256)
+        link.take(bytes(data[: generator.randint(0, len(data))]), SOURCE)
+        link.take(os.urandom(generator.randint(0, 40)), SOURCE)
+    assert told
+
+
+def test_each_kind_of_datagram_is_taken():
+    fields = {spec[2] for spec in wire.Datagram.thrift_spec if spec is not None}
+    assert set(peers._TAKER_BY_KIND) == fields
--- /dev/null
+++ b/tests/steering/test_homes.py
@@ -0,0 +1,76 @@
+"""The choice of the VM that counts an upstream's slots."""
+
+from collections import Counter
+
+import pytest
+
+from lagoonlatch.standins.manual_clock import ManualClock
+from lagoonlatch.steering.homes import MUTED, SlotHomes
+from lagoonlatch.steering.model import VmRecord
+from tests.steering.samples import REGION_BY_DATA_CENTRE
+
+
+def make_vm(name, data_centre):
+    return VmRecord(
+        id=name,
+        data_centre=data_centre,
+        caller_address="10.0.0.1:80",
+        peer_address="10.0.0.1:81",
+        run=1,
+        is_ready=True,
+    )
+
+
+def make_homes(vms, clock=None):
+    homes = SlotHomes(lambda: vms, REGION_BY_DATA_CENTRE, clock or ManualClock())
+    homes.refresh()
+    return homes
+
+
+VMS = [make_vm(f"vm-{place}-{n}", place) for place in ("n-a", "n-b") for n in range(4)]
+
+
+def test_all_choose_a_vm_of_the_upstreams_data_centre_alike():
+    views = [make_homes(VMS), make_homes(VMS)]
+    for number in range(40):
+        first, second = (homes.of(f"u{number}", "n-a") for homes in views)
+        assert first is second
+        assert first.data_centre == "n-a"
+
+
+def test_homes_are_spread_over_the_vms():
+    homes = make_homes(VMS)
+    count_by_vm = Counter(homes.of(f"u{n}", "n-a").id for n in range(400))
+    assert len(count_by_vm) == 4
+    assert max(count_by_vm.values()) < 2 * min(count_by_vm.values())
+
+
+def test_a_data_centre_without_vms_is_counted_in_its_region():
+    homes = make_homes([vm for vm in VMS if vm.data_centre == "n-b"])
+    assert homes.of("u1", "n-a").data_centre == "n-b"
+    assert homes.of("u1", "s-a") is None
+
+
+def test_only_the_upstreams_of_a_vm_that_left_move():
+    gone = VMS[0]
+    before = make_homes(VMS)
+    after = make_homes(VMS[1:])
+    for number in range(100):
+        name = f"u{number}"
+        if before.of(name, "n-a") is not gone:
+            assert after.of(name, "n-a") is before.of(name, "n-a")
+
+
+@pytest.mark.parametrize("is_heard", [True, False])
+def test_one_that_does_not_answer_is_passed_over_for_a_while(is_heard):
+    clock = ManualClock()
+    homes = make_homes(VMS, clock)
+    silent = homes.of("u1", "n-a")
+    homes.mute(silent.id)
+    assert homes.of("u1", "n-a") is not silent
+    if is_heard:
+        homes.note_heard(silent.id)
+    else:
+        clock.advance(MUTED)
+        homes.refresh()
+    assert homes.of("u1", "n-a") is silent
--- /dev/null
+++ b/tests/steering/test_slots.py
@@ -0,0 +1,190 @@
+"""The counting of slots, played against VMs that claim, lose messages and vanish."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lagoonlatch.standins.manual_clock import ManualClock
+from lagoonlatch.steering.slots import (
+    FORGET,
+    INTEREST,
+    OFFERED,
+    Claim,
+    SlotDesk,
+    counts_to_tell,
+)
+
+USUAL = (1, 2)
+URGENT = (1, 0)
+
+
+def make_desk(slots=2):
+    clock = ManualClock()
+    return SlotDesk({"u1": slots}.get, clock), clock
+
+
+def claim(vm, held=1, ticket=1, rank=USUAL, waited=0.0, upstream="u1"):
+    return Claim(
+        vm=vm, upstream=upstream, held=held, ticket=ticket, rank=rank, waited=waited
+    )
+
+
+def test_slots_are_granted_once():
+    desk, _ = make_desk(slots=2)
+    assert desk.claim(claim("a")).granted
+    assert desk.claim(claim("b")).granted
+    verdict = desk.claim(claim("c"))
+    assert not verdict.granted
+    assert verdict.others == 2
+    desk.take_count("a", "u1", 0)
+    assert desk.claim(claim("c")).granted
+
+
+def test_a_claim_that_is_sent_twice_takes_one_slot():
+    desk, _ = make_desk(slots=2)
+    for _ in range(2):
+        assert desk.claim(claim("a", held=1)).granted
+    assert desk.claim(claim("b")).granted
+
+
+def test_a_free_slot_is_offered_to_the_most_urgent_and_then_to_the_first():
+    """Load: a full upstream, and more requests at several VMs than slots."""
+    desk, clock = make_desk(slots=1)
+    desk.claim(claim("a"))
+    for vm, rank in [("late", USUAL), ("urgent", URGENT), ("last", USUAL)]:
+        clock.advance(10.0)
+        assert not desk.claim(claim(vm, rank=rank)).granted
+    assert desk.next_in_line("u1") == []
+    order = []
+    for holder in ("a", "urgent", "late"):
+        desk.take_count(holder, "u1", 0)
+        (told,) = desk.next_in_line("u1")
+        order.append(told)
+        assert desk.next_in_line("u1") == []
+        assert desk.claim(claim(told)).granted
+    assert order == ["urgent", "late", "last"]
+
+
+def test_who_waited_longer_goes_first_though_it_asks_later():
+    desk, _ = make_desk(slots=1)
+    desk.claim(claim("a"))
+    desk.claim(claim("b", waited=100.0))
+    assert desk.claim(claim("c", waited=300.0)).ahead == 0
+    desk.take_count("a", "u1", 0)
+    assert desk.next_in_line("u1") == ["c"]
+
+
+def test_tickets_of_two_vms_are_two_requests():
+    desk, clock = make_desk(slots=1)
+    desk.claim(claim("a"))
+    assert desk.claim(claim("b", ticket=7)).ahead == 0
+    clock.advance(1.0)
+    assert desk.claim(claim("c", ticket=7, waited=0.0)).ahead == 1
+
+
+def test_an_offered_slot_is_kept_for_a_moment():
+    desk, clock = make_desk(slots=1)
+    desk.claim(claim("a"))
+    desk.claim(claim("b"))
+    desk.take_count("a", "u1", 0)
+    assert desk.next_in_line("u1") == ["b"]
+    refused = desk.claim(claim("new"))
+    assert not refused.granted
+    assert refused.others == 1
+    clock.advance(OFFERED)
+    assert desk.claim(claim("new")).granted
+
+
+def test_who_asks_no_more_is_not_offered_a_slot():
+    desk, clock = make_desk(slots=1)
+    desk.claim(claim("a"))
+    desk.claim(claim("b"))
+    clock.advance(INTEREST)
+    desk.take_count("a", "u1", 0)
+    assert desk.next_in_line("u1") == []
+
+
+def test_the_slots_of_a_vm_that_vanished_are_free_again():
+    desk, clock = make_desk(slots=1)
+    desk.claim(claim("a"))
+    clock.advance(FORGET - 1.0)
+    assert not desk.claim(claim("b")).granted
+    clock.advance(1.0)
+    assert desk.claim(claim("b")).granted
+
+
+def test_a_new_home_learns_from_what_the_vms_repeat():
+    old, _ = make_desk(slots=2)
+    old.claim(claim("a"))
+    old.claim(claim("b"))
+    new, _ = make_desk(slots=2)
+    for vm in ("a", "b"):
+        new.take_count(vm, "u1", 1)
+    assert not new.claim(claim("c")).granted
+
+
+def test_an_upstream_that_the_home_does_not_know_yet_is_not_refused():
+    desk, _ = make_desk()
+    assert desk.claim(claim("a", upstream="new")).granted
+
+
+def test_what_has_ended_is_told_as_none():
+    assert counts_to_tell({"u1": 2}, {"u1": 1, "u2": 1}) == {"u1": 2, "u2": 0}
+
+
+def test_nothing_is_kept_of_upstreams_that_nobody_uses():
+    desk, clock = make_desk()
+    desk.claim(claim("a"))
+    clock.advance(FORGET)
+    desk.prune()
+    assert desk.others_at("u1", "") == 0
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["start", "end", "vanish", "repeat", "wait"]),
+        st.integers(0, 4),
+        st.booleans(),
+    ),
+    max_size=80,
+)
+
+
+@settings(max_examples=200, deadline=None)
+@given(slots=st.integers(1, 4), steps=STEPS)
+def test_one_home_never_grants_more_than_the_slots(slots, steps):
+    """Over kills and lost ends, slots that VMs really use stay within the bound.
+
+    A VM repeats its counts within the time that the home remembers them; one that
+    vanished uses nothing, and what it had is free in the end.
+    """
+    desk, clock = make_desk(slots)
+    used = dict.fromkeys("abcde", 0)
+    for step, index, is_lost in steps:
+        vm = "abcde"[index]
+        if step == "start":
+            if desk.claim(claim(vm, held=used[vm] + 1)).granted:
+                used[vm] += 1
+        elif step == "end" and used[vm]:
+            used[vm] -= 1
+            if not is_lost:
+                desk.take_count(vm, "u1", used[vm])
+        elif step == "vanish":
+            used[vm] = 0
+        elif step == "wait":
+            clock.advance(FORGET / 2.0)
+        if step in ("repeat", "wait"):
+            for name, held in used.items():
+                if held:
+                    desk.take_count(name, "u1", held)
+        assert sum(used.values()) <= slots
+    used = dict.fromkeys(used, 0)
+    clock.advance(FORGET)
+    assert desk.claim(claim("f", held=slots)).granted
+
+
+@pytest.mark.parametrize("rank", [USUAL, URGENT])
+def test_a_lower_rank_never_hides_a_free_slot(rank):
+    desk, _ = make_desk(slots=2)
+    desk.claim(claim("a"))
+    assert desk.claim(claim("b", rank=rank)).granted
