--- a/deploy/start.py
+++ b/deploy/start.py
@@ -4,6 +4,12 @@
 a VM that restarts is missing until it has loaded them.
 """
 
+from gevent import events
+
+# gevent looks for plugins at each of some 25 steps of patching, and reads the metadata
+# of every installed package each time; there are none.
+events.notify_and_call_entry_points = events.notify
+
 from gevent import monkey
 
 monkey.patch_all()
--- a/lagoonlatch/config/__init__.py
+++ b/lagoonlatch/config/__init__.py
@@ -5,29 +5,70 @@
 be used without the daemon, see ``examples/embed_configuration.py``.
 """
 
-from lagoonlatch.config.head import Change, Head, Part
-from lagoonlatch.config.holder import ConfigurationHolder
-from lagoonlatch.config.model import Configuration
-from lagoonlatch.config.offers import (
-    BaseDiffers,
-    DocumentRejected,
-    NotDescended,
-    OfferError,
-    PartsLacking,
-)
-from lagoonlatch.config.publish import (
-    ChangeIdReused,
-    ConfigurationRefused,
-    HeadTooLarge,
-    PublishConflict,
-    Published,
-    Publisher,
-    PublishError,
-    PublishOutcomeUnknown,
-    PublishUnavailable,
+from typing import TYPE_CHECKING
+
+from lagoonlatch.lazy import lazy_names
+
+if TYPE_CHECKING:
+    from lagoonlatch.config.head import Change, Head, Part
+    from lagoonlatch.config.holder import ConfigurationHolder
+    from lagoonlatch.config.model import Configuration
+    from lagoonlatch.config.offers import (
+        BaseDiffers,
+        DocumentRejected,
+        NotDescended,
+        OfferError,
+        PartsLacking,
+    )
+    from lagoonlatch.config.publish import (
+        ChangeIdReused,
+        ConfigurationRefused,
+        HeadTooLarge,
+        PublishConflict,
+        Published,
+        Publisher,
+        PublishError,
+        PublishOutcomeUnknown,
+        PublishUnavailable,
+    )
+    from lagoonlatch.config.sweep import Swept, sweep_parts
+    from lagoonlatch.config.sync import ConfigurationSync
+
+__getattr__ = lazy_names(
+    __name__,
+    {
+        "head": (
+            "Change",
+            "Head",
+            "Part",
+        ),
+        "holder": ("ConfigurationHolder",),
+        "model": ("Configuration",),
+        "offers": (
+            "BaseDiffers",
+            "DocumentRejected",
+            "NotDescended",
+            "OfferError",
+            "PartsLacking",
+        ),
+        "publish": (
+            "ChangeIdReused",
+            "ConfigurationRefused",
+            "HeadTooLarge",
+            "PublishConflict",
+            "Published",
+            "Publisher",
+            "PublishError",
+            "PublishOutcomeUnknown",
+            "PublishUnavailable",
+        ),
+        "sweep": (
+            "Swept",
+            "sweep_parts",
+        ),
+        "sync": ("ConfigurationSync",),
+    },
 )
-from lagoonlatch.config.sweep import Swept, sweep_parts
-from lagoonlatch.config.sync import ConfigurationSync
 
 __all__ = [
     "BaseDiffers",
--- a/lagoonlatch/policies.py
+++ b/lagoonlatch/policies.py
@@ -7,7 +7,7 @@
 from lagoonlatch.limits import LIMITERS
 from lagoonlatch.routing.selection import SELECTIONS
 from lagoonlatch.settings import DaemonSettings
-from lagoonlatch.upstreams.queue import QUEUES
+from lagoonlatch.upstreams.fair_queue import QUEUES  # with all queues registered
 
 REGISTRY_BY_SETTING = {
     "selection": SELECTIONS,
--- a/lagoonlatch/upstreams/owned.py
+++ b/lagoonlatch/upstreams/owned.py
@@ -10,9 +10,9 @@
 from lagoonlatch.events import EventLog
 from lagoonlatch.membership.heartbeat import LoadSummary
 from lagoonlatch.upstreams.connections import ConnectionSettings
+from lagoonlatch.upstreams.fair_queue import QUEUES  # with all queues registered
 from lagoonlatch.upstreams.instance import Instance, InstanceKey
 from lagoonlatch.upstreams.pending import PendingRequest
-from lagoonlatch.upstreams.queue import QUEUES
 from lagoonlatch.upstreams.service import DEFAULT_LONGEST_WAIT, OwnedService
 from lagoonlatch.upstreams.watch import InstanceWatch
 
