Bound what an upstream or a caller in trouble may send without end

Cause: bodies were held up to 64 MB each and in pieces; interim answers and answers to other requests were passed over without end; a peer that sends faster than it is read never let other tasks, nor the timeout itself, have a turn.

--- a/lagoonlatch/entry/connection.py
+++ b/lagoonlatch/entry/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
 import traceback
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -29,6 +30,10 @@
 MAX_READ_AHEAD = 16
 """Requests of one connection that are worked on at once; more wait unread."""
 
+EVENTS_AT_ONCE = 8
+"""Parts of a request that are read before other tasks have their turn; most requests
+have fewer."""
+
 WRITE_TIMEOUT: Millis = 10_000.0
 """A caller that takes nothing of its answer for so long is gone."""
 
@@ -167,9 +172,12 @@
         self._unread = b""
         head: h11.Request | None = None
         received: Millis = 0.0
-        body: list[bytes] = []
-        size = 0
+        body = bytearray()
+        turn = itertools.cycle(range(EVENTS_AT_ONCE))
         while True:
+            if next(turn) == EVENTS_AT_ONCE - 1:
+                # Bytes may come faster than they are read; other tasks go on.
+                gevent.sleep(0)
             try:
                 event = parser.next_event()
             except h11.RemoteProtocolError as error:
@@ -190,15 +198,14 @@
             elif isinstance(event, h11.Request):
                 head, received = event, self._clock.now()
             elif isinstance(event, h11.Data):
-                size += len(event.data)
-                if size > limits.body_bytes:
+                body += event.data
+                if len(body) > limits.body_bytes:
                     reason = f"body of over {limits.body_bytes} bytes"
                     status = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
                     return Failure(_Rejected(status, reason))
-                body.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
                 self._unread, _ = parser.trailing_data
-                return _to_request(head, b"".join(body), received)
+                return _to_request(head, bytes(body), received)
             else:
                 return Failure(_Closed())
 
@@ -301,6 +308,7 @@
                     return
             except TimeoutError:
                 continue
+            gevent.sleep(0)
 
     def _cancel(self) -> None:
         """Drop the work whose answer nobody waits for."""
--- a/lagoonlatch/entry/exchange.py
+++ b/lagoonlatch/entry/exchange.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import errno
+import itertools
 from collections.abc import Iterator
 
+import gevent
 import h11
 from gevent import socket
 
@@ -35,9 +37,17 @@
 KEEP_ALIVE_MARGIN: Millis = 1_500.0
 """A connection so near its idle limit is not used again."""
 
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
 """Largest answer that is passed on; it is held in memory until it is whole."""
 
+EVENTS_AT_ONCE = 8
+"""Parts of an answer that are read before other tasks have their turn; most answers
+have fewer."""
+
+MAX_SKIPPED = 16
+"""Interim answers, and answers to other requests, that are passed over before the one
+that is waited for; an upstream in trouble may send them without end."""
+
 _CHUNK = 64 * 1024
 _MISDIRECTED = 421
 _FIRST_SUCCESS, _FIRST_REDIRECT = 200, 300
@@ -46,17 +56,25 @@
 class UpstreamConnection:
     """A connection that carries one request at a time."""
 
-    def __init__(self, sock: socket.socket, clock: Clock) -> None:
+    def __init__(self, sock: socket.socket, held: HeldBytes, clock: Clock) -> None:
         self._sock = sock
+        self._held = held
         self._clock = clock
         self._idle_since = clock.now()
         self._keep_alive = DEFAULT_KEEP_ALIVE
         self.is_reusable = True
 
     @classmethod
-    def open(cls, address: str, timeout: Millis, clock: Clock) -> UpstreamConnection:
+    def open(
+        cls, address: str, timeout: Millis, held: HeldBytes, clock: Clock
+    ) -> UpstreamConnection:
         """Connect to ``IP:port``.
 
+        Parameters
+        ----------
+        held : HeldBytes
+            Bounds what answers hold in memory, over all connections.
+
         Raises
         ------
         OSError
@@ -67,7 +85,7 @@
             Endpoint.from_address(address).pair, timeout=seconds
         )
         tune_socket(sock, UNACKNOWLEDGED_TIMEOUT)
-        return cls(sock, clock)
+        return cls(sock, held, clock)
 
     def idle_time(self) -> Millis:
         """Return how long it has been idle."""
@@ -120,7 +138,7 @@
             if not sender.has_sent:
                 return NotRun(reason, reached=False)
             return Unknown(Failing.RESET, reason)
-        except h11.RemoteProtocolError as error:
+        except (h11.RemoteProtocolError, _SpoiltError) as error:
             self.is_reusable = False
             return Unknown(Failing.SPOILT, str(error))
         except _ClosedError as error:
@@ -134,10 +152,13 @@
         self, request: UpstreamRequest, parser: h11.Connection, deadline: Millis
     ) -> UpstreamAnswer:
         """Return the answer that names the request; others are skipped."""
-        while True:
-            answer = _Assembler()
-            for event in self._events(parser, deadline):
-                answer.add(event)
+        for _ in range(MAX_SKIPPED):
+            answer = _Assembler(self._held)
+            try:
+                for event in self._events(parser, deadline):
+                    answer.add(event)
+            finally:
+                answer.release()
             received, _ = parser.trailing_data
             whole = answer.whole()
             if whole.fields.request_id == request.request_id:
@@ -148,9 +169,15 @@
             _, parser = _begin(request)
             if received:
                 parser.receive_data(received)
+        raise _SpoiltError(f"{MAX_SKIPPED} answers to other requests")
 
     def _events(self, parser: h11.Connection, deadline: Millis) -> Iterator[h11.Event]:
-        while True:
+        for number in itertools.count(1):
+            if number % EVENTS_AT_ONCE == 0:
+                # Bytes may come faster than they are read; other tasks go on.
+                gevent.sleep(0)
+                if self._clock.now() >= deadline:
+                    raise TimeoutError
             event = parser.next_event()
             if event is h11.NEED_DATA:
                 self._sock.settimeout(self._seconds_until(deadline))
@@ -190,6 +217,33 @@
     """The upstream closed the connection before the answer was whole."""
 
 
+class _SpoiltError(Exception):
+    """What the upstream sends can't become the answer."""
+
+
+class HeldBytes:
+    """Bounds the bytes of all answers that are not whole yet.
+
+    Parameters
+    ----------
+    limit : int
+        Bytes that all answers of this VM may hold together.
+    """
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._held = 0
+
+    def add(self, count: int) -> bool:
+        """Count bytes; return False if they are too many."""
+        self._held += count
+        return self._held <= self._limit
+
+    def release(self, count: int) -> None:
+        """Forget bytes."""
+        self._held -= count
+
+
 class _Sender:
     """Sends one request and knows whether any byte of it was handed over."""
 
@@ -213,19 +267,29 @@
 class _Assembler:
     """Collects the parts of one answer."""
 
-    def __init__(self) -> None:
+    def __init__(self, held: HeldBytes) -> None:
+        self._held = held
         self._head: h11.Response | None = None
-        self._body: list[bytes] = []
-        self._size = 0
+        self._body = bytearray()
+        self._interim = 0
 
     def add(self, event: h11.Event) -> None:
         if isinstance(event, h11.Response):
             self._head = event
+        elif isinstance(event, h11.InformationalResponse):
+            self._interim += 1
+            if self._interim > MAX_SKIPPED:
+                raise _SpoiltError(f"over {MAX_SKIPPED} interim answers")
         elif isinstance(event, h11.Data):
-            self._size += len(event.data)
-            if self._size > MAX_ANSWER_BYTES:
-                raise _ClosedError(f"answer of over {MAX_ANSWER_BYTES} bytes")
-            self._body.append(bytes(event.data))
+            self._body += event.data
+            is_held = self._held.add(len(event.data))
+            if len(self._body) > MAX_ANSWER_BYTES:
+                raise _SpoiltError(f"answer of over {MAX_ANSWER_BYTES} bytes")
+            if not is_held:
+                raise _SpoiltError("answers hold too much memory together")
+
+    def release(self) -> None:
+        self._held.release(len(self._body))
 
     def whole(self) -> UpstreamAnswer:
         assert self._head is not None, "an answer ends after its head"
@@ -233,7 +297,7 @@
         return UpstreamAnswer(
             status=self._head.status_code,
             headers=[(bytes(n), bytes(v)) for n, v in self._head.headers.raw_items()],
-            body=b"".join(self._body),
+            body=bytes(self._body),
             fields=read_answer_fields(lower),
             has_stamp=any(is_stamp(name) for name, _ in lower),
         )
--- a/lagoonlatch/entry/peers.py
+++ b/lagoonlatch/entry/peers.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Callable, Iterable, Sequence
 from typing import Any
 
+import gevent
 from gevent import socket
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
 from thrift.TSerialization import deserialize, serialize
@@ -55,6 +57,9 @@
 MAX_DATAGRAM = 8_192
 """Largest datagram that is read; what VMs tell stays far below."""
 
+TAKEN_AT_ONCE = 32
+"""Datagrams that are taken before other tasks have their turn."""
+
 SPARE_TOLD = 16
 """Organisations whose spare tokens one tell names; a datagram stays small with any
 number of them, and a dozen tells a second name all."""
@@ -172,7 +177,10 @@
 
     def receive(self) -> None:
         """Take datagrams for ever."""
-        while True:
+        for number in itertools.count():
+            if number % TAKEN_AT_ONCE == 0:
+                # Datagrams may come faster than they are read; other tasks go on.
+                gevent.sleep(0)
             try:
                 data, address = self._sock.recvfrom(MAX_DATAGRAM)
             except OSError as error:
--- a/lagoonlatch/entry/pool.py
+++ b/lagoonlatch/entry/pool.py
@@ -5,14 +5,21 @@
 from collections import defaultdict
 
 from lagoonlatch.clock import Clock, Millis
-from lagoonlatch.entry.exchange import UpstreamConnection
+from lagoonlatch.entry.exchange import HeldBytes, UpstreamConnection
 from lagoonlatch.steering.model import UpstreamRecord
 
 
 class ConnectionPool:
-    """Idle connections by upstream, the newest used first."""
+    """Idle connections by upstream, the newest used first.
 
-    def __init__(self, clock: Clock) -> None:
+    Parameters
+    ----------
+    held : HeldBytes
+        Bounds what answers on all connections hold in memory.
+    """
+
+    def __init__(self, held: HeldBytes, clock: Clock) -> None:
+        self._held = held
         self._clock = clock
         self._idle_by_id: dict[str, list[UpstreamConnection]] = defaultdict(list)
 
@@ -30,7 +37,9 @@
             if connection.is_quiet() and not connection.is_expired():
                 return connection
             connection.close()
-        return UpstreamConnection.open(upstream.address, timeout, self._clock)
+        return UpstreamConnection.open(
+            upstream.address, timeout, self._held, self._clock
+        )
 
     def put_back(
         self, upstream: UpstreamRecord, connection: UpstreamConnection
--- a/lagoonlatch/entry/probes.py
+++ b/lagoonlatch/entry/probes.py
@@ -9,7 +9,7 @@
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
 from lagoonlatch.entry.events import UpstreamSuspected, UpstreamTrusted
-from lagoonlatch.entry.exchange import UpstreamConnection
+from lagoonlatch.entry.exchange import HeldBytes, UpstreamConnection
 from lagoonlatch.entry.facts import Facts
 from lagoonlatch.entry.journal import emit
 from lagoonlatch.entry.messages import Answered, Outcome, UpstreamRequest
@@ -29,7 +29,8 @@
 class Prober:
     """Checks suspects, one task for each."""
 
-    def __init__(self, facts: Facts, clock: Clock) -> None:
+    def __init__(self, facts: Facts, held: HeldBytes, clock: Clock) -> None:
+        self._held = held
         self._facts = facts
         self._clock = clock
         self._on_dead_by_id: defaultdict[str, list[Callable[[], None]]] = defaultdict(
@@ -101,7 +102,7 @@
         try:
             with gevent.Timeout(PROBE_TIMEOUT / MILLIS_PER_SECOND, TimeoutError):
                 connection = UpstreamConnection.open(
-                    address, PROBE_TIMEOUT, self._clock
+                    address, PROBE_TIMEOUT, self._held, self._clock
                 )
                 try:
                     return connection.exchange(request, PROBE_TIMEOUT)
--- a/lagoonlatch/entry/process.py
+++ b/lagoonlatch/entry/process.py
@@ -25,6 +25,7 @@
     Stopping,
     TaskFailed,
 )
+from lagoonlatch.entry.exchange import HeldBytes
 from lagoonlatch.entry.facts import Facts
 from lagoonlatch.entry.handling import RequestHandler
 from lagoonlatch.entry.journal import (
@@ -75,6 +76,10 @@
 """Upstreams that a request may end before it is refused; a common request may be
 running at two that end for another reason."""
 
+HELD_PART = 0.25
+"""Part of the VM's memory for answers that are not whole yet; the caller's copy and
+the process itself need the rest."""
+
 OUTPUT_PATIENCE: Millis = 200.0
 """How long the end of the process waits for the reader of its last lines."""
 
@@ -212,12 +217,13 @@
             self._peers.addresses_ahead,
             clock,
         )
-        self._pool = ConnectionPool(clock)
+        held = HeldBytes(round(settings.memory_bytes * HELD_PART))
+        self._pool = ConnectionPool(held, clock)
         admission = Admission()
         attempts = Attempts(
             self._fleet,
             self._pool,
-            Prober(self._facts, clock),
+            Prober(self._facts, held, clock),
             admission,
             quarantine,
             self._peers.tell_suspect,
--- a/lagoonlatch/platform/settings_file.py
+++ b/lagoonlatch/platform/settings_file.py
@@ -45,6 +45,12 @@
     longest_lookup_ttl: Millis = 5_000.0
 
 
+_MEGABYTE = 1024 * 1024
+
+DEFAULT_MEMORY_BYTES = 200 * _MEGABYTE
+"""Memory of the smallest VMs, where the settings don't say."""
+
+
 @dataclass(frozen=True, kw_only=True)
 class VmSettings:
     """The settings of one VM.
@@ -57,6 +63,8 @@
         Where this VM listens, ``IP:port``.
     store_address : str
         The platform's store, ``IP:port``.
+    memory_bytes : int
+        What the VM's process may use.
     is_first_start : bool
         Whether the whole system starts for the first time.
     """
@@ -71,6 +79,7 @@
     store_address: str
     is_first_start: bool
     bounds: Bounds
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
 
     @property
     def region(self) -> str:
@@ -106,6 +115,10 @@
     addr: str
 
 
+class _Limits(msgspec.Struct, frozen=True):
+    memory_mb: float = DEFAULT_MEMORY_BYTES / _MEGABYTE
+
+
 class _File(msgspec.Struct):
     node: str
     ip: str
@@ -114,6 +127,7 @@
     port_range: tuple[int, int]
     listen: _Listen
     platform: _Store
+    limits: _Limits = _Limits()
     bounds: list[str] = []
     bootstrap: bool = False
 
@@ -134,6 +148,7 @@
             store_address=wire.platform.addr,
             is_first_start=wire.bootstrap,
             bounds=bounds,
+            memory_bytes=round(wire.limits.memory_mb * _MEGABYTE),
         )
     )
 
--- a/tests/entry/test_exchange.py
+++ b/tests/entry/test_exchange.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from lagoonlatch.clock import Clock
-from lagoonlatch.entry.exchange import UpstreamConnection
+from lagoonlatch.entry.exchange import HeldBytes, UpstreamConnection
 from lagoonlatch.entry.messages import (
     Answered,
     Failing,
@@ -42,7 +42,9 @@
     def start(*steps):
         upstream = ScriptedUpstream(*steps)
         upstreams.append(upstream)
-        connection = UpstreamConnection.open(upstream.address, 500.0, Clock())
+        connection = UpstreamConnection.open(
+            upstream.address, 500.0, HeldBytes(10_000_000), Clock()
+        )
         return upstream, connection
 
     yield start
@@ -195,7 +197,9 @@
     upstream = ScriptedUpstream()
     upstream._read = lambda sock: sock.recv(100)
     upstream._steps = [early]
-    connection = UpstreamConnection.open(upstream.address, 500.0, Clock())
+    connection = UpstreamConnection.open(
+        upstream.address, 500.0, HeldBytes(10_000_000), Clock()
+    )
     outcome = connection.exchange(POST, 2_000.0)
     assert isinstance(outcome, Answered | Unknown)
     if isinstance(outcome, Answered):
@@ -261,7 +265,9 @@
 
     upstream = ScriptedUpstream(step)
     try:
-        connection = UpstreamConnection.open(upstream.address, 500.0, Clock())
+        connection = UpstreamConnection.open(
+            upstream.address, 500.0, HeldBytes(10_000_000), Clock()
+        )
         assert isinstance(connection.exchange(REQUEST, 1_000.0), Unknown)
     finally:
         upstream.stop()
