--- a/lagoonlatch/entry/facts.py
+++ b/lagoonlatch/entry/facts.py
@@ -69,6 +69,8 @@
         self._evacuated: set[str] = set()
         self._on_rules: list[Callable[[TrafficRules], None]] = []
         self._on_roster: list[Callable[[Mapping[str, str]], None]] = []
+        self._on_vms: list[Callable[[], None]] = []
+        self._vms_have_changed = False
         self._on_upstream_gone: list[Callable[[str], None]] = []
         self._has_read = False
         self._roster_has_changed = False
@@ -84,6 +86,10 @@
         """Call `listener` with the data centres of the roster's VMs when it changes."""
         self._on_roster.append(listener)
 
+    def on_vms(self, listener: Callable[[], None]) -> None:
+        """Call `listener` after each reading that has changed the VMs' entries."""
+        self._on_vms.append(listener)
+
     def on_upstream_gone(self, listener: Callable[[str], None]) -> None:
         """Call `listener` with the id of each upstream that is gone."""
         self._on_upstream_gone.append(listener)
@@ -110,7 +116,7 @@
         if not self._has_read:
             self._has_read = True
             emit(FactsRead(upstreams=len(self.fleet.ids()), vms=len(self.vms_by_id)))
-        self._tell_roster()
+        self._tell_vms()
 
     def take_changes(self, changes: Iterable[Change]) -> None:
         """Apply changes in their order."""
@@ -122,7 +128,7 @@
                     self._remove(change.key)
             else:
                 self._write(Entry(change.key, change.value, change.revision))
-        self._tell_roster()
+        self._tell_vms()
 
     def settle(self) -> None:
         """Drop the upstreams that stayed missing after an outage."""
@@ -161,6 +167,7 @@
         elif key.startswith(VM_PREFIX):
             vm = key.removeprefix(VM_PREFIX)
             if self.vms_by_id.pop(vm, None) is not None:
+                self._vms_have_changed = True
                 emit(VmGone(subject=vm))
         elif key.startswith(ROSTER_PREFIX):
             self.roster.pop(key.removeprefix(ROSTER_PREFIX), None)
@@ -172,8 +179,12 @@
             self.roster[vm] = data_centre
             self._roster_has_changed = True
 
-    def _tell_roster(self) -> None:
-        """Tell of all changes of one reading at once; each makes all parts anew."""
+    def _tell_vms(self) -> None:
+        """Tell of all changes of one reading at once; each makes lists anew."""
+        if self._vms_have_changed:
+            self._vms_have_changed = False
+            for listener in self._on_vms:
+                listener()
         if not self._roster_has_changed:
             return
         self._roster_has_changed = False
@@ -241,6 +252,7 @@
         record = decoded.unwrap()
         self.vms_by_id[record.id] = record
         self.known_vms_by_id[record.id] = record
+        self._vms_have_changed = True
         self._tell_read(
             VmKnown(subject=record.id, ready=record.is_ready, run=record.run)
         )
--- a/lagoonlatch/entry/process.py
+++ b/lagoonlatch/entry/process.py
@@ -57,7 +57,7 @@
 from lagoonlatch.steering.lookup import Lookup
 from lagoonlatch.steering.model import CallerLimits, TrafficRules, VmRecord
 from lagoonlatch.steering.neighbours import Neighbours
-from lagoonlatch.steering.peers import MISSED, NEVER_HEARD, PeerTable
+from lagoonlatch.steering.peers import PeerTable
 from lagoonlatch.steering.placement import Placement
 from lagoonlatch.steering.queueing import WaitingRoom
 from lagoonlatch.steering.repeats import RepeatBudget
@@ -265,6 +265,7 @@
         self._add_gauges()
         self._facts.on_rules(self._follow_rules)
         self._facts.on_roster(self._follow_roster)
+        self._facts.on_vms(self._neighbours.forget)
         self._facts.on_upstream_gone(self._pool.drop)
 
     def _add_gauges(self) -> None:
@@ -328,14 +329,6 @@
             vms.append(self._me)
         return sorted(vms, key=lambda vm: vm.id)
 
-    def _expect_vms(self) -> None:
-        """Note of all VMs when they are to be heard at the latest."""
-        neighbours = self._neighbours
-        for vms, rounds in ((neighbours.near, NEAR), (neighbours.far, FAR)):
-            within = max(NEVER_HEARD, MISSED * rounds.cycle(len(vms)))
-            for vm in vms:
-                self._peer_table.expect(vm.id, within)
-
     def _should_watch(self) -> bool:
         near = {vm.id for vm in self._neighbours.near}
         standing_by_vm = self._peer_table.standing_by_vm()
@@ -373,7 +366,10 @@
             gevent.sleep(HOUSEKEEPING / MILLIS_PER_SECOND)
             self._facts.settle()
             self._pool.prune()
-            self._expect_vms()
+            self._neighbours.expect(
+                NEAR.cycle(len(self._neighbours.near)),
+                FAR.cycle(len(self._neighbours.far)),
+            )
             self._peers.tell_round()
             self._slots.repeat()
             self._sync.look()
--- a/lagoonlatch/steering/neighbours.py
+++ b/lagoonlatch/steering/neighbours.py
@@ -12,17 +12,21 @@
 
 from lagoonlatch.clock import Clock, Millis
 from lagoonlatch.steering.model import VmRecord
-from lagoonlatch.steering.peers import PeerTable
+from lagoonlatch.steering.peers import MISSED, NEVER_HEARD, PeerTable
 
 VIEW_AGE: Millis = 250.0
 """Longest age of the lists; a part of the time after which a VM counts as silent."""
 
+VIEW_AGE_OF_ONE: Millis = 5.0
+"""The same for each VM of a large fleet, so that the lists cost the same at any size;
+there a VM is told more rarely anyway."""
+
 
 @dataclass(frozen=True)
 class _View:
     near: tuple[VmRecord, ...]
     far: tuple[VmRecord, ...]
-    made: Millis
+    until: Millis
 
 
 class Neighbours:
@@ -54,6 +58,8 @@
         self._table = table
         self._clock = clock
         self._view: _View | None = None
+        self._ready: list[VmRecord] | None = None
+        self._expected: _View | None = None
 
     @property
     def near(self) -> tuple[VmRecord, ...]:
@@ -72,10 +78,30 @@
 
     def ready(self) -> list[VmRecord]:
         """Return the VMs that take requests, without those that fell silent."""
-        vms = [vm for vm in self.all() if vm.is_ready]
-        heard = [vm for vm in vms if not self._table.is_silent(vm.id)]
-        # A VM that hears few others is cut off itself.
-        return heard if len(heard) * 2 >= len(vms) else vms
+        view = self._current()
+        if self._ready is None:
+            vms = [vm for vm in (*view.near, *view.far) if vm.is_ready]
+            heard = [vm for vm in vms if not self._table.is_silent(vm.id)]
+            # A VM that hears few others is cut off itself.
+            self._ready = heard if len(heard) * 2 >= len(vms) else vms
+        return list(self._ready)
+
+    def expect(self, near: Millis, far: Millis) -> None:
+        """Note when the VMs of a new view are to be heard at the latest.
+
+        Parameters
+        ----------
+        near, far : Millis
+            After which a VM tells again, by the size of the fleet.
+        """
+        view = self._current()
+        if view is self._expected:
+            return
+        self._expected = view
+        for vms, cycle in ((view.near, near), (view.far, far)):
+            within = max(NEVER_HEARD, MISSED * cycle)
+            for vm in vms:
+                self._table.expect(vm.id, within)
 
     def forget(self) -> None:
         """Make the lists anew at the next question, since a fact has changed."""
@@ -84,19 +110,22 @@
     def _current(self) -> _View:
         view = self._view
         now = self._clock.now()
-        if view is None or now - view.made >= VIEW_AGE:
+        if view is None or now >= view.until:
             view = self._view = self._make(now)
+            self._ready = None
         return view
 
     def _make(self, now: Millis) -> _View:
-        near, far = [], []
+        near: list[VmRecord] = []
+        far: list[VmRecord] = []
         region_of = self._region_by_data_centre.get
         own_region = region_of(self._me.data_centre)
         for _, vm in sorted(self._known_vms().items()):
             if self._is_present(vm):
                 is_near = region_of(vm.data_centre) == own_region
                 (near if is_near else far).append(vm)
-        return _View(tuple(near), tuple(far), now)
+        age = max(VIEW_AGE, VIEW_AGE_OF_ONE * (len(near) + len(far)))
+        return _View(tuple(near), tuple(far), now + age)
 
     def _is_present(self, vm: VmRecord) -> bool:
         """Return whether a VM has a live entry, or is still heard without one."""
