--- a/lagoonlatch/entry/loans.py
+++ b/lagoonlatch/entry/loans.py
@@ -13,7 +13,7 @@
 from lagoonlatch.entry.generated.ttypes import Ask
 from lagoonlatch.steering.allowances import Allowances
 from lagoonlatch.steering.holders import Holders
-from lagoonlatch.steering.peers import PeerTable
+from lagoonlatch.steering.lenders import Lenders
 
 LOAN_PATIENCE: Millis = 200.0
 """A loan from the farthest region takes a round trip and some scheduling."""
@@ -24,9 +24,6 @@
 IDLE_PAUSE: Millis = 400.0
 """The same while no caller has asked for anything lately."""
 
-ASKED_MOST = 8
-"""Holders that one request asks: those of its region and some others."""
-
 
 class Borrower:
     """Asks other VMs, for one organisation one at a time.
@@ -36,7 +33,7 @@
     me : str
         This VM.
     send_ask : callable
-        Sends an ask to a VM that was heard.
+        Sends an ask to a VM.
     """
 
     def __init__(
@@ -44,14 +41,14 @@
         me: str,
         allowances: Allowances,
         holders: Holders,
-        table: PeerTable,
+        lenders: Lenders,
         send_ask: Callable[[str, Ask], None],
         clock: Clock,
     ) -> None:
         self._me = me
         self._allowances = allowances
         self._holders = holders
-        self._table = table
+        self._lenders = lenders
         self._send_ask = send_ask
         self._clock = clock
         self._pending_by_organisation: dict[str, AsyncResult] = {}
@@ -101,7 +98,7 @@
         if asked is None:
             return
         lender, organisation = asked
-        self._table.note_spare(lender, organisation, left)
+        self._lenders.note_left(lender, organisation, left)
         self._allowances.receive(organisation, tokens)
         pending = self._pending_by_organisation.pop(organisation, None)
         if pending is not None:
@@ -117,10 +114,12 @@
         wanted = self._allowances.wanted(organisation, waiting)
         if not wanted:
             return None
-        lender = self._find_lender(organisation, wanted, tried)
+        lender = self._lenders.choose(organisation, wanted, tried or ())
         if lender is None:
             return None
-        self._table.note_asked(lender, organisation, wanted)
+        if tried is not None:
+            tried.add(lender)
+        self._lenders.note_asked(lender, organisation, wanted)
         number = random.getrandbits(62)
         pending = AsyncResult()
         self._pending_by_organisation[organisation] = pending
@@ -130,21 +129,3 @@
         self._send_ask(lender, ask)
         gevent.spawn_later(LOAN_PATIENCE / MILLIS_PER_SECOND, self.take_loan, number, 0)
         return pending
-
-    def _find_lender(
-        self, organisation: str, wanted: int, tried: set[str] | None
-    ) -> str | None:
-        near = self._holders.near(organisation)
-        lender = self._table.best_lender(organisation, wanted, near)
-        if lender is not None and lender not in (tried or ()):
-            if tried is not None:
-                tried.add(lender)
-            return lender
-        if tried is None or self._holders.part(organisation).is_held:
-            return None
-        # A holder may have got some since it told.
-        for holder in self._holders.others(organisation)[:ASKED_MOST]:
-            if holder not in tried and self._table.is_heard(holder):
-                tried.add(holder)
-                return holder
-        return None
--- a/lagoonlatch/entry/peer.thrift
+++ b/lagoonlatch/entry/peer.thrift
@@ -13,8 +13,6 @@
   1: string vm,
   2: i64 run,
   3: bool leaving,
-  // Whole tokens that it could lend, for some of the organisations in turn.
-  5: map<string, i32> spare_by_organisation,
   // Of the store, up to which it knows all changes.
   6: i64 revision,
   7: Standing standing,
--- a/lagoonlatch/entry/peers.py
+++ b/lagoonlatch/entry/peers.py
@@ -33,6 +33,7 @@
 from lagoonlatch.platform.endpoint import Endpoint
 from lagoonlatch.steering.allowances import Allowances
 from lagoonlatch.steering.holders import Holders
+from lagoonlatch.steering.lenders import Lenders
 from lagoonlatch.steering.model import VmRecord
 from lagoonlatch.steering.neighbours import Neighbours
 from lagoonlatch.steering.peers import PeerTable, Rounds, Telling
@@ -60,10 +61,6 @@
 TAKEN_AT_ONCE = 32
 """Datagrams that are taken before other tasks have their turn."""
 
-SPARE_TOLD = 16
-"""Organisations whose spare tokens one tell names; a datagram stays small with any
-number of them, and a dozen tells a second name all."""
-
 Address = tuple[str, int]
 Taker = Callable[["PeerLink", Any, Address], None]
 
@@ -134,15 +131,15 @@
         self._is_leaving = is_leaving
         self._standing = standing
         self._reading = reading
-        self._spare_told = 0
         self._allowances = allowances
         self._quarantine = quarantine
         self._table = table
         self._clock = clock
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._address_by_vm: dict[str, tuple[str, int]] = {}
+        lenders = Lenders(holders, lambda vm: neighbours.find(vm) is not None, clock)
         self.borrower = Borrower(
-            me.id, allowances, holders, table, self._send_ask, clock
+            me.id, allowances, holders, lenders, self._send_ask, clock
         )
 
     def listen(self) -> None:
@@ -278,22 +275,16 @@
             vm=self._me.id,
             run=self._me.run,
             leaving=self._is_leaving(),
-            spare_by_organisation=self._take_spare(),
             revision=self._reading.revision,
             standing=int(self._standing()),
             interval=round(interval),
         )
         self._send_to(peers, serialize(Datagram(tell=tell), _PROTOCOL))
 
-    def _take_spare(self) -> dict[str, int]:
-        """Return what could be lent of some organisations, all of them in turn."""
-        names = self._allowances.names()
-        first = self._spare_told % max(len(names), 1)
-        self._spare_told = first + SPARE_TOLD
-        return self._allowances.spare_by_id(names[first : first + SPARE_TOLD])
-
     def _send_ask(self, vm: str, ask: Ask) -> None:
-        self._send(Datagram(ask=ask), self._address_by_vm[vm])
+        record = self._neighbours.find(vm)
+        if record is not None:
+            self.send(record, Datagram(ask=ask))
 
     def _send_to(self, peers: Iterable[VmRecord], data: bytes) -> None:
         for peer in peers:
@@ -316,7 +307,6 @@
         vm=tell.vm,
         run=tell.run,
         is_leaving=tell.leaving,
-        spare_by_organisation=tell.spare_by_organisation or {},
         revision=tell.revision or 0,
         standing=Standing(tell.standing or 0),
         interval=float(tell.interval or 0),
--- a/lagoonlatch/steering/allowances.py
+++ b/lagoonlatch/steering/allowances.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Mapping
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
 from lagoonlatch.steering.holders import Part
@@ -97,7 +97,6 @@
         self._starts_full = starts_full
         self._clock = clock
         self._buckets_by_id: dict[str, _Bucket] = {}
-        self._names: list[str] = []
         self._active: set[str] = set()
 
     def configure(self, organisations_by_id: Mapping[str, Organisation]) -> None:
@@ -115,7 +114,6 @@
             bucket.level = min(bucket.level, self._depth(organisation))
             buckets[organisation.id] = bucket
         self._buckets_by_id = buckets
-        self._names = sorted(buckets)
 
     def follow_parts(self) -> None:
         """Keep no more than this VM's parts, which have changed."""
@@ -154,10 +152,6 @@
         if bucket is not None:
             bucket.level += 1.0
 
-    def names(self) -> list[str]:
-        """Return the organisations with an allowance, sorted."""
-        return self._names
-
     def spare(self, organisation: str) -> int:
         """Return the whole tokens that could be lent."""
         bucket = self._buckets_by_id.get(organisation)
@@ -166,19 +160,6 @@
         self._fill(bucket)
         return self._spare(bucket)
 
-    def spare_by_id(self, names: Sequence[str] | None = None) -> dict[str, int]:
-        """Return the whole tokens that could be lent, of `names` or of all.
-
-        Those that this VM holds a part of are named also if there are none.
-        """
-        asked = self._names if names is None else names
-        spare_by_id = {name: self.spare(name) for name in asked}
-        return {
-            name: spare
-            for name, spare in spare_by_id.items()
-            if spare or self._part_of(name).is_held
-        }
-
     def lend(self, organisation: str, wanted: int, for_callers: bool = False) -> int:
         """Take off up to `wanted` tokens for another VM and return how many.
 
--- a/lagoonlatch/steering/neighbours.py
+++ b/lagoonlatch/steering/neighbours.py
@@ -59,6 +59,7 @@
         self._clock = clock
         self._view: _View | None = None
         self._ready: list[VmRecord] | None = None
+        self._ready_by_id: dict[str, VmRecord] = {}
         self._expected: _View | None = None
 
     @property
@@ -84,8 +85,14 @@
             heard = [vm for vm in vms if not self._table.is_silent(vm.id)]
             # A VM that hears few others is cut off itself.
             self._ready = heard if len(heard) * 2 >= len(vms) else vms
+            self._ready_by_id = {vm.id: vm for vm in self._ready}
         return list(self._ready)
 
+    def find(self, vm: str) -> VmRecord | None:
+        """Return the record of a VM that can be asked for something."""
+        self.ready()
+        return self._ready_by_id.get(vm)
+
     def expect(self, near: Millis, far: Millis) -> None:
         """Note when the VMs of a new view are to be heard at the latest.
 
--- a/lagoonlatch/steering/peers.py
+++ b/lagoonlatch/steering/peers.py
@@ -5,8 +5,7 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
-from collections.abc import Collection, Mapping, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import TypeVar
 
@@ -23,9 +22,6 @@
 """So long a VM whose entry is known may not have told anything yet; longer in a fleet
 where a VM is told more rarely."""
 
-NEARER = 1_000_000
-"""Ranks a lender nearby before all others; more than any VM has to spare."""
-
 MISSED = 2.5
 """Tells that may be missed before a VM that tells rarely counts as silent."""
 
@@ -77,8 +73,6 @@
     ----------
     run : int
         Names the run of its process.
-    spare_by_organisation : mapping of str to int
-        Tokens that it could lend, for some organisations; the others stay as told.
     revision : int
         Of the store, up to which it knows all changes.
     interval : Millis
@@ -88,7 +82,6 @@
     vm: str
     run: int
     is_leaving: bool
-    spare_by_organisation: Mapping[str, int]
     revision: int = 0
     standing: Standing = Standing.LISTENS
     interval: Millis = 0.0
@@ -100,50 +93,17 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._telling_by_vm: dict[str, Telling] = {}
-        self._spare_by_vm: dict[str, dict[str, int]] = defaultdict(dict)
         self._heard_by_vm: dict[str, Millis] = {}
         self._expected_by_vm: dict[str, Millis] = {}
-        self._promised: dict[tuple[str, str], int] = {}
 
     def hear(self, telling: Telling) -> None:
         """Take in a telling."""
         known = self._telling_by_vm.get(telling.vm)
-        if known is not None and telling.run != known.run:
-            if telling.run < known.run and self._age(telling.vm) < RUN_ORDER:
-                return
-            self._spare_by_vm.pop(telling.vm, None)
+        is_older = known is not None and telling.run < known.run
+        if is_older and self._age(telling.vm) < RUN_ORDER:
+            return
         self._telling_by_vm[telling.vm] = telling
-        self._spare_by_vm[telling.vm].update(telling.spare_by_organisation)
         self._heard_by_vm[telling.vm] = self._clock.now()
-        for organisation in telling.spare_by_organisation:
-            self._promised.pop((telling.vm, organisation), None)
-
-    def note_spare(self, vm: str, organisation: str, tokens: int) -> None:
-        """Take in what a VM that was asked has left to lend."""
-        if vm in self._telling_by_vm:
-            self._spare_by_vm[vm][organisation] = tokens
-            self._promised.pop((vm, organisation), None)
-
-    def best_lender(
-        self, organisation: str, wanted: int = 1, near: Collection[str] = ()
-    ) -> str | None:
-        """Return the VM with most tokens to spare; None if none has any.
-
-        One of `near` comes first if it has as many as are wanted.
-        """
-        best, most = None, 0
-        for vm, spare_by_organisation in self._spare_by_vm.items():
-            spare = spare_by_organisation.get(organisation, 0)
-            spare -= self._promised.get((vm, organisation), 0)
-            rank = spare + NEARER if spare >= wanted and vm in near else spare
-            if spare > 0 and rank > most and self._is_fresh(vm):
-                best, most = vm, rank
-        return best
-
-    def note_asked(self, vm: str, organisation: str, tokens: int) -> None:
-        """Count tokens that `vm` was asked for since it told what it has."""
-        key = (vm, organisation)
-        self._promised[key] = self._promised.get(key, 0) + tokens
 
     def expect(self, vm: str, within: Millis = NEVER_HEARD) -> None:
         """Note that a VM is known and is to be heard `within` a time."""
@@ -189,7 +149,6 @@
     def forget(self, vm: str) -> None:
         """Drop all that was told by a VM that has left the roster."""
         self._telling_by_vm.pop(vm, None)
-        self._spare_by_vm.pop(vm, None)
         self._heard_by_vm.pop(vm, None)
         self._expected_by_vm.pop(vm, None)
 
