Drop a reading of the store that is older than what other VMs passed on

Cause: a slow store's answer, taken before changes that peers passed on meanwhile, replaced all facts; an upstream that had left (or an evacuation taken back) was in force again until the watch caught up. Found by looking for it; test test_a_late_reading_of_the_store_takes_nothing_back fails without the change. Ruled out: odd entries of other writers end no task (tests/entry/test_odd_entries.py, 600 documents).

--- a/lagoonlatch/entry/reading.py
+++ b/lagoonlatch/entry/reading.py
@@ -59,7 +59,7 @@
     def take_snapshot(
         self, entries: Sequence[Entry], revision: int, lapse_left: Millis = 0.0
     ) -> None:
-        """Replace all facts by a reading up to `revision`.
+        """Replace all facts by a reading up to `revision`, unless later ones are known.
 
         Parameters
         ----------
@@ -67,6 +67,10 @@
             As in `Batch`, from the VM that passes the reading on.
         """
         self._hold(lapse_left)
+        if revision < self.revision:
+            # A slow answer: other VMs have passed on later changes meanwhile, and
+            # what was removed by them would be in use again.
+            return
         self._facts.take_snapshot(entries)
         self.revision = revision
         self._batches.clear()
--- /dev/null
+++ b/tests/entry/test_odd_entries.py
@@ -0,0 +1,131 @@
+"""Entries of the store that make no sense: no process may end by them.
+
+An entry may come from another writer. An error in taking one in would end the task
+that follows the store, and with it the VM, at each start anew.
+"""
+
+import json
+
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from lagoonlatch.entry.facts import Facts
+from lagoonlatch.platform.kv import Change
+from lagoonlatch.platform.registrations import ROSTER_PREFIX, VM_PREFIX
+from lagoonlatch.standins.manual_clock import ManualClock
+from tests.steering.samples import make_fleet
+
+ROUTE = {
+    "resource_kind": "routes",
+    "metadata": {"name": "r"},
+    "spec": {
+        "host": "h.example",
+        "path_prefix": "/a/",
+        "kind": "safe",
+        "service": "ledger",
+        "max_attempts": 2,
+        "timeout_s": 1.0,
+        "goal_s": 0.5,
+        "priority": 1,
+    },
+}
+SERVICE = {
+    "resource_kind": "services",
+    "metadata": {"name": "ledger"},
+    "spec": {"health_path": "/healthz", "cold_start_s": 3.0, "cold_per_s": 8.0},
+}
+TENANT = {
+    "resource_kind": "tenants",
+    "metadata": {"name": "dojo"},
+    "spec": {"api_keys": ["k"], "rate_per_s": 10, "burst": 10, "priority": 1},
+}
+LIMITS = {
+    "resource_kind": "limits",
+    "metadata": {"name": "limits"},
+    "spec": {"max_header_bytes": 100, "idle_timeout_s": 1.5},
+}
+CONFIGURATION = {"version": "r7", "resources": [ROUTE, SERVICE, TENANT, LIMITS]}
+UPSTREAM = {
+    "service": "ledger",
+    "addr": "10.0.0.1:80",
+    "zone": "n-a",
+    "version": "1",
+    "slots": 3,
+    "state": "ready",
+    "cold_left_s": 0.0,
+    "seq": 4,
+    "born": 5,
+}
+SOUND = {
+    "op/config": CONFIGURATION,
+    "op/evacuate/n-a": {},
+    "servers/i-1": UPSTREAM,
+    f"{VM_PREFIX}vm-1": {"id": "vm-1", "zone": "n-a"},
+    f"{ROSTER_PREFIX}vm-1": {"zone": "n-a"},
+}
+
+ODD_VALUES = st.one_of(
+    st.none(),
+    st.booleans(),
+    st.integers(-(2**70), 2**70),
+    st.floats(allow_nan=True),
+    st.text(max_size=4),
+    st.lists(st.integers(), max_size=2),
+    st.dictionaries(st.text(max_size=2), st.integers(), max_size=2),
+)
+
+
+def places(value, path=()):
+    """Yield the paths of all parts of a document."""
+    yield path
+    children = ()
+    if isinstance(value, dict):
+        children = value.items()
+    elif isinstance(value, list):
+        children = enumerate(value)
+    for key, child in children:
+        yield from places(child, (*path, key))
+
+
+def replaced(value, path, new):
+    """Return a copy of a document with one part replaced."""
+    if not path:
+        return new
+    copy = dict(value) if isinstance(value, dict) else list(value)
+    copy[path[0]] = replaced(copy[path[0]], path[1:], new)
+    return copy
+
+
+@st.composite
+def odd_documents(draw):
+    key = draw(st.sampled_from(sorted(SOUND)))
+    document = SOUND[key]
+    for _ in range(draw(st.integers(1, 3))):
+        path = draw(st.sampled_from(list(places(document))))
+        document = replaced(document, path, draw(ODD_VALUES))
+    return key, json.dumps(document).encode()
+
+
+@settings(max_examples=400, deadline=None, suppress_health_check=[HealthCheck.too_slow])
+@given(st.lists(odd_documents(), min_size=1, max_size=4))
+def test_no_document_ends_the_task_that_reads_it(documents):
+    facts = Facts(make_fleet(), ManualClock())
+    for revision, (key, value) in enumerate(documents, 1):
+        facts.take_changes([Change(key, value, revision)])
+    facts.settle()
+
+
+@settings(max_examples=200, deadline=None)
+@given(st.sampled_from(sorted(SOUND)), st.binary(max_size=60))
+def test_no_bytes_end_the_task_that_reads_them(key, value):
+    facts = Facts(make_fleet(), ManualClock())
+    facts.take_changes([Change(key, value, 1)])
+
+
+def test_an_odd_entry_leaves_the_others_in_force():
+    facts = Facts(make_fleet(), ManualClock())
+    sound = json.dumps(UPSTREAM).encode()
+    facts.take_changes([Change("servers/i-1", sound, 1)])
+    odd = json.dumps(UPSTREAM | {"slots": "many", "born": None}).encode()
+    facts.take_changes([Change("servers/i-2", odd, 2)])
+    assert facts.fleet.ids() == {"i-1"}
--- a/tests/entry/test_reading.py
+++ b/tests/entry/test_reading.py
@@ -95,3 +95,18 @@
     other.clock.advance(3_000.0)
     other.facts.settle()
     assert other.names() == set()
+
+
+def test_a_late_reading_of_the_store_takes_nothing_back():
+    """Load: a slow store answers after other VMs have passed on later changes.
+
+    The reading still holds an upstream that has left meanwhile.
+    """
+    vm = Vm()
+    entries = vm.reading.entries()
+    before = vm.reading.revision
+    vm.reading.take_batch(batch(before, before + 5, gone("i-1", before + 5)))
+    assert vm.names() == set()
+    vm.reading.take_snapshot(entries, before + 1)
+    assert vm.names() == set()
+    assert vm.reading.revision == before + 5
