--- a/lagoonlatch/entry/peers.py
+++ b/lagoonlatch/entry/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import random
 from collections.abc import Callable, Iterable, Sequence
 from typing import Any
 
@@ -127,7 +128,8 @@
         self._neighbours = neighbours
         self._slots = slots
         self._on_ahead = on_ahead
-        self._turn = 0
+        # VMs that start together would otherwise all tell the same ones at once.
+        self._turn = random.getrandbits(16)
         self._is_leaving = is_leaving
         self._standing = standing
         self._reading = reading
--- a/tests/entry/test_process.py
+++ b/tests/entry/test_process.py
@@ -17,6 +17,12 @@
 
 WAIT = 8.0
 
+TIMERS_A_SECOND = 10.0
+"""Wake-ups that a VM may have with nothing to do."""
+
+STORE_A_SECOND = 4.0
+"""Answers of the store, readiness checks and their followers while nothing happens."""
+
 
 @pytest.fixture
 def fleet():
@@ -265,3 +271,24 @@
         if connection.pid and connection.laddr.port == port
     )
     return next(owners, None)
+
+
+def test_an_idle_vm_wakes_only_for_a_few_timers_and_for_what_it_is_told(fleet):
+    """Counts the times that the kernel lets a VM wait, not seconds of processor."""
+    vms = list(fleet.vms_by_id.values())
+    fleet.await_ready()
+    gevent.sleep(2.0)
+    seconds, told_a_second = 5.0, 4.0 * (len(vms) - 1)
+    before = [_waits(vm) for vm in vms]
+    gevent.sleep(seconds)
+    for vm, count in zip(vms, before, strict=True):
+        a_second = (_waits(vm) - count) / seconds
+        assert a_second <= TIMERS_A_SECOND + told_a_second + STORE_A_SECOND, vm.id
+
+
+def _waits(vm):
+    with open(f"/proc/{vm.process.pid}/status") as status:
+        for line in status:
+            if line.startswith("voluntary_ctxt_switches:"):
+                return int(line.split()[1])
+    raise AssertionError("the kernel counts no waits")
