--- a/lagoonlatch/entry/handling.py
+++ b/lagoonlatch/entry/handling.py
@@ -264,28 +264,36 @@
         if not candidates.upstreams or longest <= 0.0:
             return None
         started = self._clock.now()
+        number = self._waiting.take_number()
         try:
-            return self._take_slot(journey, candidates, longest)
+            return self._take_slot(journey, number, candidates, longest)
         finally:
+            self._slots.leave(number)
             waited = self._clock.now() - started
             journey.waited += waited
             self._metrics.waited(journey.service, waited)
 
     def _take_slot(
-        self, journey: _Journey, candidates: Candidates, longest: Millis
+        self, journey: _Journey, number: int, candidates: Candidates, longest: Millis
     ) -> UpstreamState | None:
-        """Take a slot of a candidate, waiting for one up to `longest`."""
+        """Take a slot of a candidate, waiting for one up to `longest`.
+
+        The homes of the upstreams order the requests of all VMs, so each request asks
+        there before it waits.
+        """
         urgency = journey.urgency()
-        number = self._waiting.take_number()
+        has_asked = False
         started = self._clock.now()
         while True:
             waited = self._clock.now() - started
-            ahead = self._waiting.count_ahead(number, urgency, candidates)
-            upstream = self._placement.pick(candidates, waited) if not ahead else None
+            first = candidates.upstreams[0]
+            upstream = self._placement.pick(candidates, waited)
+            if upstream is None and not has_asked and self._placement.is_warm(first):
+                upstream = first
+            has_asked = True
             if upstream is None:
-                first = candidates.upstreams[0]
                 expected = self._admission.expected_wait(
-                    journey.route, max(ahead, first.ahead()), first.record.slots
+                    journey.route, first.ahead(), first.record.slots
                 )
                 if expected > longest - waited or waited >= longest:
                     return None
--- a/lagoonlatch/entry/peer.thrift
+++ b/lagoonlatch/entry/peer.thrift
@@ -86,10 +86,18 @@
   2: map<string, i32> held_by_upstream,
 }
 
-// An upstream has a free slot, for the next request that waits at this VM.
+// An upstream has a free slot, for a request that waits at this VM.
 struct Room {
   1: string upstream,
   2: i32 others,
+  3: i64 ticket,
+}
+
+// A request waits no more for the upstream, also if it was offered a slot.
+struct Decline {
+  1: string vm,
+  2: string upstream,
+  3: i64 ticket,
 }
 
 // A request that has ended upstreams which ran it.
@@ -111,6 +119,7 @@
   7: optional Verdict verdict,
   8: optional Counts counts,
   9: optional Room room,
+  10: optional Decline decline,
 }
 
 struct Item {
--- a/lagoonlatch/entry/peers.py
+++ b/lagoonlatch/entry/peers.py
@@ -19,6 +19,7 @@
     Claim,
     Counts,
     Datagram,
+    Decline,
     Loan,
     Room,
     Suspect,
@@ -244,6 +245,10 @@
     def _take_counts(self, counts: Counts, _address: Address) -> None:
         self._slots.take_counts(counts)
 
+    @_takes("decline")
+    def _take_decline(self, decline: Decline, _address: Address) -> None:
+        self._slots.take_decline(decline)
+
     @_takes("room")
     def _take_room(self, room: Room, _address: Address) -> None:
         self._slots.take_room(room)
--- a/lagoonlatch/entry/slots.py
+++ b/lagoonlatch/entry/slots.py
@@ -64,6 +64,7 @@
         self._clock = clock
         self._numbers = itertools.count(random.getrandbits(48))
         self._pending_by_number: dict[int, AsyncResult] = {}
+        self._asked_by_ticket: defaultdict[int, set[str]] = defaultdict(set)
         self._home_told_by_upstream: dict[str, str] = {}
         self._repeated: Millis = clock.now()
 
@@ -96,10 +97,19 @@
         if verdict is None:
             return True
         upstream.note_others(verdict.others, verdict.ahead)
-        if not verdict.granted:
+        asked = self._asked_by_ticket[ticket]
+        if verdict.granted:
+            asked.discard(upstream.record.id)
+        else:
+            asked.add(upstream.record.id)
             upstream.in_flight -= 1
         return verdict.granted
 
+    def leave(self, ticket: int) -> None:
+        """Tell where the request was refused a slot that it waits no more."""
+        for name in self._asked_by_ticket.pop(ticket, ()):
+            self._decline(name, ticket)
+
     def release(self, upstream: UpstreamState) -> None:
         """Free the slot of a request that has ended."""
         upstream.in_flight -= 1
@@ -177,9 +187,16 @@
     def take_room(self, room: wire.Room) -> None:
         """Take in that an upstream has a free slot."""
         state = self._fleet.find(room.upstream)
-        if state is not None:
-            state.note_others(room.others)
-            self._on_room()
+        if state is None or room.ticket not in self._asked_by_ticket:
+            self._decline(room.upstream, room.ticket)
+            return
+        state.note_others(room.others)
+        self._on_room()
+
+    def take_decline(self, decline: wire.Decline) -> None:
+        """Take in that a request of another VM waits no more."""
+        self._desk.decline(decline.vm, decline.upstream, decline.ticket)
+        self._offer_slots(decline.upstream)
 
     def _ask(
         self,
@@ -230,13 +247,27 @@
 
     def _take_count(self, vm: str, upstream: str, held: int) -> None:
         self._desk.take_count(vm, upstream, held)
-        for waiting in self._desk.next_in_line(upstream):
-            others = self._desk.others_at(upstream, waiting)
-            room = wire.Room(upstream, others)
-            if waiting == self._me:
+        self._offer_slots(upstream)
+
+    def _offer_slots(self, upstream: str) -> None:
+        """Tell the requests whose turn it is."""
+        for vm, ticket in self._desk.next_in_line(upstream):
+            room = wire.Room(upstream, self._desk.others_at(upstream, vm), ticket)
+            if vm == self._me:
                 self.take_room(room)
             else:
-                self._send_room(waiting, room)
+                self._send_room(vm, room)
+
+    def _decline(self, upstream: str, ticket: int) -> None:
+        state = self._fleet.find(upstream)
+        home = state and self._homes.of(upstream, state.record.data_centre)
+        if not home:
+            return
+        decline = wire.Decline(self._me, upstream, ticket)
+        if home.id == self._me:
+            self.take_decline(decline)
+        else:
+            self._send(home, wire.Datagram(decline=decline))
 
     def _send_room(self, vm: str, room: wire.Room) -> None:
         record = self._homes.find(vm)
--- a/lagoonlatch/steering/placement.py
+++ b/lagoonlatch/steering/placement.py
@@ -151,6 +151,10 @@
             own = False
         return later if waited >= candidates.stays_for else None
 
+    def is_warm(self, state: UpstreamState) -> bool:
+        """Return whether an upstream may get requests at any rate."""
+        return self._fleet.is_usable(state) and not state.is_cold()
+
     def has_room(self, state: UpstreamState) -> bool:
         """Return whether a slot seems free at an upstream."""
         return self._fleet.is_usable(state) and state.load() < state.record.slots
--- a/lagoonlatch/steering/slots.py
+++ b/lagoonlatch/steering/slots.py
@@ -84,6 +84,7 @@
 @dataclass(frozen=True)
 class _Offer:
     vm: str
+    ticket: int
     until: Millis
 
 
@@ -109,11 +110,12 @@
             del interests[ticket]
         self.offers = [offer for offer in self.offers if offer.until > now]
 
-    def take_offer(self, vm: str) -> None:
-        for offer in self.offers:
-            if offer.vm == vm:
-                self.offers.remove(offer)
-                return
+    def take_offer(self, vm: str, ticket: int) -> None:
+        """Drop the offer to a request, else one to another request of its VM."""
+        offers = [offer for offer in self.offers if offer.vm == vm]
+        offers.sort(key=lambda offer: offer.ticket != ticket)
+        if offers:
+            self.offers.remove(offers[0])
 
     def count_offers(self, other_than: str) -> int:
         return sum(offer.vm != other_than for offer in self.offers)
@@ -154,7 +156,7 @@
         )
         taken = others + ledger.count_offers(claim.vm) + claim.held
         if slots is None or taken <= slots:
-            ledger.take_offer(claim.vm)
+            ledger.take_offer(claim.vm, claim.ticket)
             ledger.interest_by_ticket.pop(wanted, None)
             ledger.count_by_vm[claim.vm] = _Count(claim.held, now + FORGET)
             return Verdict(True, others, ahead)
@@ -170,10 +172,19 @@
         else:
             ledger.count_by_vm.pop(vm, None)
 
-    def next_in_line(self, upstream: str) -> list[str]:
-        """Return the VMs to tell of free slots, one for each, most urgent first.
+    def decline(self, vm: str, upstream: str, ticket: int) -> None:
+        """Forget a request that waits no more, and a slot that it was offered."""
+        ledger = self._ledger(upstream, self._clock.now())
+        ledger.interest_by_ticket.pop((vm, ticket), None)
+        ledger.offers = [
+            offer for offer in ledger.offers if (offer.vm, offer.ticket) != (vm, ticket)
+        ]
+
+    def next_in_line(self, upstream: str) -> list[tuple[str, int]]:
+        """Return VM and ticket of the requests to tell of free slots.
 
-        They are not told again unless they ask again.
+        There is one for each slot, the most urgent first; they are not told again
+        unless they ask again.
         """
         now = self._clock.now()
         ledger = self._ledger(upstream, now)
@@ -186,8 +197,8 @@
         )[: max(free, 0)]
         for ticket, interest in first:
             del ledger.interest_by_ticket[ticket]
-            ledger.offers.append(_Offer(interest.vm, now + OFFERED))
-        return [interest.vm for _, interest in first]
+            ledger.offers.append(_Offer(interest.vm, ticket[1], now + OFFERED))
+        return [ticket for ticket, _ in first]
 
     def others_at(self, upstream: str, vm: str) -> int:
         """Return the requests that VMs other than `vm` have at an upstream."""
--- a/tests/entry/test_slots.py
+++ b/tests/entry/test_slots.py
@@ -63,6 +63,8 @@
             vm.take_counts(datagram.counts)
         elif datagram.room is not None:
             vm.take_room(datagram.room)
+        elif datagram.decline is not None:
+            vm.take_decline(datagram.decline)
 
     def state(self, vm):
         return self.fleet_by_id[vm].find("u1")
@@ -101,6 +103,35 @@
     assert net.offered == [net.home()]
 
 
+def test_a_request_that_waits_no_more_leaves_its_turn_to_the_next():
+    net = Net(count=4, slots=1)
+    first, second, third = net.others()
+    assert net.claim(first)
+    assert not net.claim(second, ticket=1)
+    gevent.sleep(0.005)
+    assert not net.claim(third, ticket=2)
+    net.vm_by_id[second].leave(1)
+    net.vm_by_id[first].release(net.state(first))
+    gevent.sleep(0.02)
+    assert net.offered == [third]
+
+
+def test_an_offer_to_a_request_that_has_left_is_passed_on_at_once():
+    net = Net(count=4, slots=1)
+    first, second, third = net.others()
+    assert net.claim(first)
+    assert not net.claim(second, ticket=1)
+    gevent.sleep(0.005)
+    assert not net.claim(third, ticket=2)
+    # The word that it has left is lost.
+    net.lost = lambda sender, receiver: sender == second
+    net.vm_by_id[second].leave(1)
+    net.lost = lambda sender, receiver: False
+    net.vm_by_id[first].release(net.state(first))
+    gevent.sleep(0.03)
+    assert net.offered == [third]
+
+
 def test_a_lost_claim_is_sent_again():
     net = Net()
     lost = iter([True, False, False])
--- a/tests/steering/test_slots.py
+++ b/tests/steering/test_slots.py
@@ -58,7 +58,7 @@
     order = []
     for holder in ("a", "urgent", "late"):
         desk.take_count(holder, "u1", 0)
-        (told,) = desk.next_in_line("u1")
+        ((told, _),) = desk.next_in_line("u1")
         order.append(told)
         assert desk.next_in_line("u1") == []
         assert desk.claim(claim(told)).granted
@@ -71,7 +71,7 @@
     desk.claim(claim("b", waited=100.0))
     assert desk.claim(claim("c", waited=300.0)).ahead == 0
     desk.take_count("a", "u1", 0)
-    assert desk.next_in_line("u1") == ["c"]
+    assert desk.next_in_line("u1") == [("c", 1)]
 
 
 def test_tickets_of_two_vms_are_two_requests():
@@ -87,7 +87,7 @@
     desk.claim(claim("a"))
     desk.claim(claim("b"))
     desk.take_count("a", "u1", 0)
-    assert desk.next_in_line("u1") == ["b"]
+    assert desk.next_in_line("u1") == [("b", 1)]
     refused = desk.claim(claim("new"))
     assert not refused.granted
     assert refused.others == 1
@@ -95,6 +95,20 @@
     assert desk.claim(claim("new")).granted
 
 
+def test_one_that_declines_is_passed_over_at_once():
+    """Load: requests that were served elsewhere, or whose callers have left."""
+    desk, clock = make_desk(slots=1)
+    desk.claim(claim("a"))
+    for vm in ("b", "c", "d"):
+        clock.advance(1.0)
+        desk.claim(claim(vm))
+    desk.decline("c", "u1", 1)
+    desk.take_count("a", "u1", 0)
+    assert desk.next_in_line("u1") == [("b", 1)]
+    desk.decline("b", "u1", 1)
+    assert desk.next_in_line("u1") == [("d", 1)]
+
+
 def test_who_asks_no_more_is_not_offered_a_slot():
     desk, clock = make_desk(slots=1)
     desk.claim(claim("a"))
