Send an upstream one request beyond its slots; say what costs at size

Cause: a free slot passes by release, offer, claim and request over two VMs and stood idle meanwhile; requests that waited behind others at their VM were unknown to the home, and slots were kept for requests that had left.

--- a/lagoonlatch/entry/slots.py
+++ b/lagoonlatch/entry/slots.py
@@ -190,7 +190,9 @@
         if state is None or room.ticket not in self._asked_by_ticket:
             self._decline(room.upstream, room.ticket)
             return
-        state.note_others(room.others)
+        # The home keeps the slot for this VM, though all may be taken as yet.
+        last = state.record.slots - 1 - state.in_flight
+        state.note_others(min(room.others, last))
         self._on_room()
 
     def take_decline(self, decline: wire.Decline) -> None:
--- a/lagoonlatch/steering/slots.py
+++ b/lagoonlatch/steering/slots.py
@@ -18,6 +18,10 @@
 Rank: TypeAlias = tuple[int, int]
 """Priority of the organisation, then of the route; the lowest goes first."""
 
+QUEUED = 1
+"""Requests beyond its slots that an upstream is sent: it begins the next one at once,
+where a slot that is offered to a VM stands idle for some messages' time."""
+
 REPEAT: Millis = 2_000.0
 """A VM repeats its counts so often; few requests last longer."""
 
@@ -155,7 +159,7 @@
             if ticket != wanted
         )
         taken = others + ledger.count_offers(claim.vm) + claim.held
-        if slots is None or taken <= slots:
+        if slots is None or taken <= slots + QUEUED:
             ledger.take_offer(claim.vm, claim.ticket)
             ledger.interest_by_ticket.pop(wanted, None)
             ledger.count_by_vm[claim.vm] = _Count(claim.held, now + FORGET)
@@ -191,7 +195,7 @@
         slots = self._slots_of(upstream)
         if slots is None or not ledger.interest_by_ticket:
             return []
-        free = slots - ledger.held_by_others("") - len(ledger.offers)
+        free = slots + QUEUED - ledger.held_by_others("") - len(ledger.offers)
         first = sorted(
             ledger.interest_by_ticket.items(), key=lambda item: item[1].order
         )[: max(free, 0)]
