--- a/tests/entry/test_peers.py
+++ b/tests/entry/test_peers.py
@@ -16,7 +16,7 @@
 from lagoonlatch.steering.peers import PeerTable
 from lagoonlatch.steering.watchers import Standing
 from lagoonlatch.upstreams.quarantine import Quarantine
-from tests.entry.test_reading import Vm
+from tests.entry.test_reading import Vm, added, batch, gone
 from tests.entry.test_slots import Net
 from tests.steering.test_homes import make_vm
 
@@ -36,15 +36,21 @@
         pass
 
 
-def make_link():
+class Near(Nobody):
+    """Neighbours of a VM with another one in its region."""
+
+    near = (make_vm("vm-1", "n-a"),)
+
+
+def make_link(neighbours=None, reading=None):
     clock = ManualClock()
     holders = Holders("vm-0", "north")
     return PeerLink(
         make_vm("vm-0", "n-a"),
-        Nobody(),
+        neighbours or Nobody(),
         lambda: False,
         lambda: Standing.LISTENS,
-        Vm().reading,
+        reading or Vm().reading,
         holders,
         Allowances(holders.part, True, clock),
         Quarantine(clock, death_limit=3),
@@ -99,3 +105,22 @@
 def test_each_kind_of_datagram_is_taken():
     fields = {spec[2] for spec in wire.Datagram.thrift_spec if spec is not None}
     assert set(peers._TAKER_BY_KIND) == fields
+
+
+def test_changes_that_fill_more_than_a_datagram_reach_the_region_unasked(monkeypatch):
+    """DRAIN: VMs learned of an upstream's leaving only by asking one another."""
+    watcher, listener = Vm(), Vm()
+    sent = []
+    link = make_link(Near(), watcher.reading)
+    monkeypatch.setattr(link, "_send_bytes", lambda data, _address: sent.append(data))
+    news = batch(
+        10, 111, *(added(f"i-{n}", n) for n in range(11, 111)), gone("i-1", 111)
+    )
+    watcher.reading.take_batch(news)
+    link.pass_on(news)
+    assert all(len(data) <= peers.MAX_DATAGRAM for data in sent)
+    other = make_link(reading=listener.reading)
+    for data in reversed(sent):
+        other.take(data, SOURCE)
+    assert listener.reading.revision == 111
+    assert "i-1" not in listener.names()
