Pass changes on in datagrams that stand alone, configurations as what changed

Cause: a watcher passed a batch of over 8 KB on to nobody; later batches begin after the missing one and were dropped too. Each VM then asked one VM after another by a call of at most 0.8 s, for an answer with whole configurations of 81 organisations over links of 5 to 10 Mbit/s. Ruled out: watchers cut off or silent (all six were served all the while).

Change: batches are cut at revisions; the configuration is named in a batch and sent apart, as a zstd patch from the version before, checked by a digest; large ones go by relays; a few VMs of other regions are told too. A VM that misses something asks two others by datagram every 0.15 s; calls are for what doesn't fit, go on while bytes come, and hold up no question.

--- a/lagoonlatch/entry/news.py
+++ b/lagoonlatch/entry/news.py
@@ -1,7 +1,8 @@
-"""News of the store from VM to VM.
+"""What a VM does that misses changes of the store which others know.
 
-A VM that listens, or that the store turns away, asks one that knows more. What it gets
-is as good as a reading of its own, only later.
+It asks two of them by datagram, again and again until it misses nothing. What doesn't
+fit into datagrams is read by a call, beside the questions. What it gets is as good as
+a reading of its own, only later.
 """
 
 from __future__ import annotations
@@ -10,24 +11,35 @@
 from collections.abc import Callable, Sequence
 
 import gevent
+import zstandard
 from gevent import socket
 from gevent.event import Event
 from gevent.server import StreamServer
 from returns.result import Failure, Result, Success
 from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
 from thrift.Thrift import TException
+from thrift.TSerialization import deserialize, serialize
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
 from lagoonlatch.entry.events import NewsFailed, NewsTaken
 from lagoonlatch.entry.generated import News
 from lagoonlatch.entry.generated import ttypes as wire
 from lagoonlatch.entry.journal import emit
-from lagoonlatch.entry.reading import Batch, StoreReading
+from lagoonlatch.entry.packing import (
+    decode_batch,
+    decode_patch,
+    encode_batch,
+    encode_whole_patch,
+)
+from lagoonlatch.entry.reading import StoreReading
 from lagoonlatch.entry.sync import StoreSync
 from lagoonlatch.platform.endpoint import Endpoint
-from lagoonlatch.platform.kv import Change
 from lagoonlatch.platform.store import Entry
-from lagoonlatch.vms.connection import framed_transport, tune_peer_socket
+from lagoonlatch.vms.connection import (
+    MAX_FRAME_BYTES,
+    framed_transport,
+    tune_peer_socket,
+)
 
 ASK_AFTER: Millis = 600.0
 """A store that fails for so long is not waited for."""
@@ -35,21 +47,35 @@
 ASK_INTERVAL: Millis = 500.0
 """Between questions while the store fails; a change must count within a few seconds."""
 
-BEHIND: Millis = 150.0
-"""Others may know more for so long; what they pass on may be on its way."""
+ROUND: Millis = 150.0
+"""Between questions of a VM that misses something; some round trips between regions.
+What others pass on is waited for as long before the first one."""
 
 LOOK_INTERVAL: Millis = 500.0
 """How often a VM looks whether the store fails; what others know more wakes it."""
 
+ASKED_AT_ONCE = 2
+"""One of them may be cut off."""
+
+CALL_EVERY = 4
+"""Rounds without progress after which a call is made too; datagrams may be lost where
+a link is full."""
+
+CALLS_AT_ONCE = 2
+"""Calls under way; one of them may be to a VM that is cut off."""
+
 CONNECT_TIMEOUT: Millis = 300.0
 """Some round trips between regions; a VM that is cut off answers nothing."""
 
-CALL_TIMEOUT: Millis = 800.0
-"""Longest call: some round trips between regions, and the items' transfer."""
+SILENCE_TIMEOUT: Millis = 800.0
+"""Longest time without bytes in a call; an answer that comes slowly goes on."""
+
+CALL_TIMEOUT: Millis = 10_000.0
+"""Longest call: the whole store over a link of 1 Mbit/s."""
 
 
 class NewsServer:
-    """Answers VMs that know less than this one."""
+    """Answers calls of VMs that know less than this one."""
 
     def __init__(self, reading: StoreReading) -> None:
         self._reading = reading
@@ -61,23 +87,23 @@
         server.start()
         return server
 
-    def read_since(self, revision: int) -> wire.Reading:
-        """Return what is newer than `revision`; changes if all are known, else all."""
-        known = self._reading.revision
-        if known <= revision:
-            return wire.Reading(revision=0, items=[])
-        batch = self._reading.batch_since(revision)
-        if batch is not None:
-            return wire.Reading(revision=known, items=[], batch=encode_batch(batch))
-        items = [
-            wire.Item(entry.key, entry.value, entry.revision)
-            for entry in self._reading.entries()
-        ]
-        lapse_left = round(self._reading.lapse_left())
-        return wire.Reading(revision=known, items=items, lapse_left=lapse_left)
+    def read_since(self, revision: int, configuration: int) -> wire.Reading:
+        """Return what is newer than what the asker knows."""
+        reading = self._reading
+        answer = wire.Reading()
+        if reading.revision > revision:
+            batch = reading.batch_since(revision)
+            if batch is None:
+                return wire.Reading(snapshot=_encode_snapshot(reading))
+            answer.batch = encode_batch(batch)
+        if reading.configuration > configuration:
+            patch = reading.versions.patch_from(configuration)
+            answer.patch = encode_whole_patch(patch)
+        return answer
 
     def _serve_connection(self, sock: socket.socket, _address: tuple) -> None:
         tune_peer_socket(sock)
+        sock.settimeout(SILENCE_TIMEOUT / MILLIS_PER_SECOND)
         protocol = TBinaryProtocolAccelerated(framed_transport(sock))
         processor = News.Processor(self)
         try:
@@ -97,7 +123,10 @@
     list_addresses : callable
         Returns where other VMs listen, ``IP:port``.
     list_ahead : callable
-        Returns where VMs listen that have told of later changes than `revision`.
+        Returns where VMs listen that have told of later changes than the revisions
+        given, those of this region first.
+    ask : callable
+        Sends a question to an address; the answers come as datagrams.
     """
 
     def __init__(
@@ -105,107 +134,167 @@
         reading: StoreReading,
         sync: StoreSync,
         list_addresses: Callable[[], Sequence[str]],
-        list_ahead: Callable[[int], Sequence[str]],
+        list_ahead: Callable[[int, int], Sequence[str]],
+        ask: Callable[[str, wire.Datagram], None],
         clock: Clock,
     ) -> None:
         self._reading = reading
         self._sync = sync
         self._list_addresses = list_addresses
         self._list_ahead = list_ahead
+        self._ask = ask
         self._clock = clock
         self._behind_since: Millis | None = None
-        self._last_failed = ""
         self._asked: Millis = 0.0
-        self._told_ahead = Event()
+        self._asked_in_vain: set[str] = set()
+        self._rounds = 0
+        self._known = (0, 0)
+        self._called: set[str] = set()
+        self._is_told = Event()
 
     def run(self) -> None:
         """Ask for ever, whenever others know more or the store fails."""
         while True:
-            self._told_ahead.wait(LOOK_INTERVAL / MILLIS_PER_SECOND)
-            self._told_ahead.clear()
-            if not self._reading.revision and not self._sync.is_failing:
-                # The first reading is this VM's own.
-                continue
+            self._is_told.wait(LOOK_INTERVAL / MILLIS_PER_SECOND)
+            self._is_told.clear()
             self._look()
-            if self._behind_since is not None:
-                gevent.sleep(BEHIND / MILLIS_PER_SECOND)
+            while self._behind_since is not None:
+                gevent.sleep(ROUND / MILLIS_PER_SECOND)
                 self._look()
 
-    def note_ahead(self) -> None:
-        """Look soon, since another VM has told that it knows more."""
-        self._told_ahead.set()
+    def note_behind(self) -> None:
+        """Look soon, since another VM knows more."""
+        self._is_told.set()
+
+    def call(self, peer: str) -> None:
+        """Read from a VM what this one misses, beside the questions."""
+        if len(self._called) < CALLS_AT_ONCE and peer not in self._called:
+            self._called.add(peer)
+            gevent.spawn(self._call, peer)
 
     def _look(self) -> None:
         now = self._clock.now()
-        ahead = self._list_ahead(self._reading.revision)
-        if not ahead or self._sync.is_gathering:
+        reading = self._reading
+        if not reading.revision and not self._sync.is_failing:
+            # The first reading is this VM's own.
+            return
+        sources = self._sources()
+        if not sources:
             self._behind_since = None
+            is_due = now - self._asked >= ASK_INTERVAL
+            if is_due and self._sync.failing_for() >= ASK_AFTER:
+                self._ask_some(self._list_addresses())
         elif self._behind_since is None:
             self._behind_since = now
-        elif now - self._behind_since >= BEHIND:
-            self._ask(self._choose(ahead))
-            return
-        is_due = now - self._asked >= ASK_INTERVAL
-        if not ahead and is_due and self._sync.failing_for() >= ASK_AFTER:
-            self._asked = now
-            addresses = self._list_addresses()
-            if addresses:
-                self._ask(self._choose(addresses))
-
-    def _choose(self, peers: Sequence[str]) -> str:
-        """Return one of `peers`, not the one that failed last if there is another."""
-        return random.choice([p for p in peers if p != self._last_failed] or peers)
-
-    def _ask(self, peer: str) -> None:
-        result = _call(peer, self._reading.revision)
-        self._last_failed = peer if isinstance(result, Failure) else ""
+            self._rounds = 0
+        elif now - self._behind_since >= ROUND:
+            self._ask_some(sources)
+
+    def _sources(self) -> Sequence[str]:
+        """Return where to ask for what is missing here, best first; none if nothing."""
+        reading = self._reading
+        lacks_configuration = reading.newest_configuration > reading.configuration
+        if self._sync.is_gathering and not lacks_configuration:
+            # This VM's own next call brings the changes.
+            return []
+        ahead = self._list_ahead(reading.revision, reading.configuration)
+        return ahead or (self._list_addresses() if lacks_configuration else [])
+
+    def _ask_some(self, sources: Sequence[str]) -> None:
+        self._asked = self._clock.now()
+        known = (self._reading.revision, self._reading.configuration)
+        if known != self._known:
+            self._known = known
+            self._rounds = 0
+            self._asked_in_vain.clear()
+        chosen = self._choose(sources)
+        behind = wire.Datagram(behind=wire.Behind(*known))
+        for peer in chosen:
+            self._ask(peer, behind)
+        self._asked_in_vain.update(chosen)
+        self._rounds += 1
+        if chosen and self._rounds % CALL_EVERY == 0:
+            self.call(chosen[0])
+
+    def _choose(self, sources: Sequence[str]) -> list[str]:
+        """Return some of the nearest that were not asked in vain; else any."""
+        fresh = [peer for peer in sources if peer not in self._asked_in_vain]
+        if not fresh:
+            self._asked_in_vain.clear()
+            fresh = list(sources)
+        nearest = fresh[: ASKED_AT_ONCE * 2]
+        return random.sample(nearest, min(ASKED_AT_ONCE, len(nearest)))
+
+    def _call(self, peer: str) -> None:
+        try:
+            result = _read_since(
+                peer, self._reading.revision, self._reading.configuration
+            )
+        finally:
+            self._called.discard(peer)
         if isinstance(result, Failure):
             emit(NewsFailed(peer=peer, why=result.failure()))
             return
-        found = result.unwrap()
-        if found.revision <= self._reading.revision:
+        try:
+            has_news = _take(result.unwrap(), self._reading)
+        except Exception as error:
+            # Whatever it raises: the answer makes no sense.
+            emit(NewsFailed(peer=peer, why=repr(error)))
             return
-        if found.batch is not None:
-            self._reading.take_batch(decode_batch(found.batch))
-        else:
-            entries = [Entry(i.key, i.value, i.revision) for i in found.items]
-            lapse_left = float(found.lapse_left or 0)
-            self._reading.take_snapshot(entries, found.revision, lapse_left)
-        emit(NewsTaken(peer=peer, revision=found.revision))
-
-
-def encode_batch(batch: Batch) -> wire.Batch:
-    """Encode changes for another VM."""
-    return wire.Batch(
-        since=batch.since,
-        until=batch.until,
-        changes=[wire.Change(c.key, c.value, c.revision) for c in batch.changes],
-        lapse_left=round(batch.lapse_left),
-    )
-
-
-def decode_batch(batch: wire.Batch) -> Batch:
-    """Decode changes that another VM passes on."""
-    return Batch(
-        since=batch.since,
-        until=batch.until,
-        changes=tuple(Change(c.key, c.value, c.revision) for c in batch.changes),
-        lapse_left=float(batch.lapse_left),
-    )
-
-
-def _call(address: str, revision: int) -> Result[wire.Reading, str]:
+        if has_news:
+            emit(NewsTaken(peer=peer, revision=self._reading.revision))
+
+
+def _take(found: wire.Reading, reading: StoreReading) -> bool:
+    """Take in the answer to a call; return False if it held nothing."""
+    if found.snapshot is not None:
+        snapshot = _decode_snapshot(found.snapshot)
+        entries = [Entry(i.key, i.value, i.revision) for i in snapshot.items]
+        lapse_left = float(snapshot.lapse_left or 0)
+        reading.take_snapshot(entries, snapshot.revision, lapse_left)
+    if found.batch is not None:
+        reading.take_batch(decode_batch(found.batch))
+    if found.patch is not None:
+        reading.take_patch(decode_patch(found.patch))
+    return any(x is not None for x in (found.snapshot, found.batch, found.patch))
+
+
+def _encode_snapshot(reading: StoreReading) -> bytes:
+    items = [wire.Item(e.key, e.value, e.revision) for e in reading.entries()]
+    snapshot = wire.Snapshot(items, reading.revision, round(reading.lapse_left()))
+    return zstandard.ZstdCompressor().compress(serialize(snapshot))
+
+
+def _decode_snapshot(data: bytes) -> wire.Snapshot:
+    """Decode a snapshot.
+
+    Raises
+    ------
+    ValueError
+        If it would be larger than any message.
+    """
+    size = zstandard.frame_content_size(data)
+    if size > MAX_FRAME_BYTES:
+        raise ValueError(f"snapshot of {size} bytes")
+    packed = zstandard.ZstdDecompressor().decompress(data)
+    return deserialize(wire.Snapshot(), packed)
+
+
+def _read_since(
+    address: str, revision: int, configuration: int
+) -> Result[wire.Reading, str]:
     try:
         with gevent.Timeout(CALL_TIMEOUT / MILLIS_PER_SECOND, TimeoutError):
             sock = socket.create_connection(
                 Endpoint.from_address(address).pair,
                 CONNECT_TIMEOUT / MILLIS_PER_SECOND,
             )
-            sock.settimeout(None)
+            sock.settimeout(SILENCE_TIMEOUT / MILLIS_PER_SECOND)
             try:
                 tune_peer_socket(sock)
                 protocol = TBinaryProtocolAccelerated(framed_transport(sock))
-                return Success(News.Client(protocol).read_since(revision))
+                client = News.Client(protocol)
+                return Success(client.read_since(revision, configuration))
             finally:
                 sock.close()
     except (OSError, EOFError, TException) as error:
--- a/lagoonlatch/entry/peer.thrift
+++ b/lagoonlatch/entry/peer.thrift
@@ -18,6 +18,8 @@
   7: Standing standing,
   // Milliseconds until it tells the receiver again.
   8: i32 interval,
+  // Revision of the store at which the configuration in force was written.
+  9: i64 configuration,
 }
 
 struct Change {
@@ -27,13 +29,50 @@
   3: i64 revision,
 }
 
-// All changes of the store after revision `since` up to `until`.
+// All changes of the store after revision `since` up to `until`, but those of the
+// configuration, which is named only.
 struct Batch {
   1: i64 since,
   2: i64 until,
   3: list<Change> changes,
   // Milliseconds for which upstreams whose entries are gone may come back.
   4: i32 lapse_left,
+  // Revision of the newest configuration; 0: none is known.
+  5: i64 configuration,
+}
+
+// How a configuration is made of another one, or a piece of that.
+struct Patch {
+  // Revisions of the store at which both were written; 0: `data` is the whole.
+  1: i64 revision,
+  2: i64 base,
+  3: binary data,
+  // Of the whole configuration.
+  4: binary digest,
+  // Which of how many pieces `data` is.
+  5: i32 piece,
+  6: i32 pieces,
+}
+
+// How a change is passed on. The receiver serves the VMs of its region whose hash
+// modulo `parts` is `part`; none if `parts` is 0.
+struct Spread {
+  1: i32 part,
+  2: i32 parts,
+  // The sender is of another region.
+  3: bool is_far,
+}
+
+// A VM asks for what it misses.
+struct Behind {
+  // As in Tell, of the asker.
+  1: i64 revision,
+  2: i64 configuration,
+}
+
+// Answers Behind: what is missed doesn't fit into datagrams and is to be read by a call.
+struct Large {
+  1: i64 revision,
 }
 
 // Asks for tokens of an organisation's allowance.
@@ -108,7 +147,7 @@
   3: double duration,
 }
 
-// One of them is set.
+// One of them is set, and `spread` beside a batch or patch that is passed on.
 struct Datagram {
   1: optional Tell tell,
   2: optional Ask ask,
@@ -120,6 +159,10 @@
   8: optional Counts counts,
   9: optional Room room,
   10: optional Decline decline,
+  11: optional Patch patch,
+  12: optional Behind behind,
+  13: optional Large large,
+  14: optional Spread spread,
 }
 
 struct Item {
@@ -128,17 +171,24 @@
   3: i64 revision,
 }
 
+// All entries of the store.
+struct Snapshot {
+  1: list<Item> items,
+  // Up to which the items are complete.
+  2: i64 revision,
+  // As in Batch.
+  3: i32 lapse_left,
+}
+
+// What the asker misses; nothing is set if it knows all that this VM does.
 struct Reading {
-  // Of the store, up to which the items are complete; 0: nothing newer than asked for.
-  1: i64 revision,
-  2: list<Item> items,
-  // Set in place of the items if it holds all that the asker misses.
-  3: optional Batch batch,
-  // As in Batch, for the items.
-  4: i32 lapse_left,
+  1: optional Batch batch,
+  2: optional Patch patch,
+  // Set in place of the others if the changes are not known: a Snapshot, compressed.
+  3: optional binary snapshot,
 }
 
 service News {
-  // The changes after `revision`, or all items if they are not known.
-  Reading read_since(1: i64 revision),
+  // What is newer than the asker's revision of the store and of its configuration.
+  Reading read_since(1: i64 revision, 2: i64 configuration),
 }
--- a/lagoonlatch/entry/peers.py
+++ b/lagoonlatch/entry/peers.py
@@ -4,7 +4,9 @@
 
 import itertools
 import random
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
+from contextlib import contextmanager
+from dataclasses import dataclass
 from typing import Any
 
 import gevent
@@ -13,15 +15,19 @@
 from thrift.TSerialization import deserialize, serialize
 
 from lagoonlatch.clock import Clock, Millis
-from lagoonlatch.entry.events import DatagramLost, DatagramUnreadable
+from lagoonlatch.entry.events import DatagramLost, DatagramUnreadable, NewsTaken
 from lagoonlatch.entry.generated.ttypes import (
     Ask,
+    Behind,
     Claim,
     Counts,
     Datagram,
     Decline,
+    Large,
     Loan,
+    Patch,
     Room,
+    Spread,
     Suspect,
     Tell,
     Verdict,
@@ -29,8 +35,8 @@
 from lagoonlatch.entry.generated.ttypes import Batch as WireBatch
 from lagoonlatch.entry.journal import emit
 from lagoonlatch.entry.loans import Borrower
-from lagoonlatch.entry.news import decode_batch, encode_batch
-from lagoonlatch.entry.reading import Batch, StoreReading
+from lagoonlatch.entry.passing import ChangePasser
+from lagoonlatch.entry.reading import StoreReading
 from lagoonlatch.entry.slots import SlotClient
 from lagoonlatch.platform.endpoint import Endpoint
 from lagoonlatch.steering.allowances import Allowances
@@ -64,7 +70,17 @@
 """Datagrams that are taken before other tasks have their turn."""
 
 Address = tuple[str, int]
-Taker = Callable[["PeerLink", Any, Address], None]
+
+
+@dataclass(frozen=True)
+class Origin:
+    """Where a datagram came from, and how it is to be passed on."""
+
+    address: Address
+    spread: Spread | None = None
+
+
+Taker = Callable[["PeerLink", Any, Origin], None]
 
 _TAKER_BY_KIND: dict[str, Taker] = {}
 """What takes in each kind of datagram, by the name of its field."""
@@ -101,13 +117,17 @@
         Who may have tokens to lend.
     slots : SlotClient
         Claims slots, and answers the claims of others.
-    on_ahead : callable
-        Is called when another VM has told that it knows later changes.
+    on_behind : callable
+        Is called when another VM knows later changes.
+    on_large : callable
+        Is called with the address of a VM from which to read what is missing.
 
     Attributes
     ----------
     borrower : Borrower
         Asks the other VMs for tokens.
+    changes : ChangePasser
+        Passes changes of the store on.
     """
 
     def __init__(
@@ -121,14 +141,16 @@
         allowances: Allowances,
         quarantine: Quarantine,
         slots: SlotClient,
-        on_ahead: Callable[[], None],
+        on_behind: Callable[[], None],
+        on_large: Callable[[str], None],
         table: PeerTable,
         clock: Clock,
     ) -> None:
         self._me = me
         self._neighbours = neighbours
         self._slots = slots
-        self._on_ahead = on_ahead
+        self._on_behind = on_behind
+        self._on_large = on_large
         # VMs that start together would otherwise all tell the same ones at once.
         self._turn = random.getrandbits(16)
         self._is_leaving = is_leaving
@@ -144,6 +166,7 @@
         self.borrower = Borrower(
             me.id, allowances, holders, lenders, self._send_ask, clock
         )
+        self.changes = ChangePasser(reading, neighbours, self._send_to_all, on_behind)
 
     def listen(self) -> None:
         """Take the VM's port."""
@@ -155,9 +178,16 @@
         heard = filter(self._table.is_heard, self._address_by_vm)
         return list(dict.fromkeys([*known, *map(self._address_of, heard)]))
 
-    def addresses_ahead(self, revision: int) -> list[str]:
-        """Return where VMs listen that know later changes of the store."""
-        return list(map(self._address_of, self._table.ahead_of(revision)))
+    def addresses_ahead(self, revision: int, configuration: int) -> list[str]:
+        """Return where VMs listen that know more, those of this region first."""
+        ahead = self._table.ahead_of(revision, configuration)
+        near = {vm.id for vm in self._neighbours.near}
+        ahead.sort(key=lambda vm: vm not in near)
+        return list(map(self._address_of, ahead))
+
+    def ask(self, address: str, datagram: Datagram) -> None:
+        """Send a question to a VM that may not be known by name."""
+        self._send(datagram, Endpoint.from_address(address).pair)
 
     def tell_round(self) -> None:
         """Tell the VMs whose turn it is."""
@@ -196,61 +226,89 @@
             for kind, taker in _TAKER_BY_KIND.items():
                 message = getattr(datagram, kind)
                 if message is not None:
-                    taker(self, message, address)
+                    taker(self, message, Origin(address, datagram.spread))
         except Exception as error:
             # Whatever it raises: the bytes are no sound datagram of a peer, and one
             # of them must not end the VM.
             emit(DatagramUnreadable(source=address[0], why=repr(error)))
 
     @_takes("tell")
-    def _take_tell(self, tell: Tell, address: Address) -> None:
+    def _take_tell(self, tell: Tell, origin: Origin) -> None:
         telling = _to_telling(tell)
-        self._address_by_vm[tell.vm] = address
+        self._address_by_vm[tell.vm] = origin.address
         self._table.hear(telling)
         if telling.is_leaving:
             self._neighbours.forget()
-        if telling.revision > self._reading.revision:
-            self._on_ahead()
+        if (
+            telling.revision > self._reading.revision
+            or telling.configuration > self._reading.configuration
+        ):
+            self._on_behind()
 
     @_takes("ask")
-    def _take_ask(self, ask: Ask, address: Address) -> None:
+    def _take_ask(self, ask: Ask, origin: Origin) -> None:
         lent = self._allowances.lend(
             ask.organisation, ask.tokens, bool(ask.for_callers)
         )
         left = self._allowances.spare(ask.organisation)
         loan = Loan(ask.number, ask.organisation, lent, left)
-        self._send(Datagram(loan=loan), address)
+        self._send(Datagram(loan=loan), origin.address)
 
     @_takes("loan")
-    def _take_loan(self, loan: Loan, _address: Address) -> None:
+    def _take_loan(self, loan: Loan, _origin: Origin) -> None:
         self.borrower.take_loan(loan.number, loan.tokens, loan.left)
 
     @_takes("batch")
-    def _take_batch(self, batch: WireBatch, _address: Address) -> None:
-        self._reading.take_batch(decode_batch(batch))
+    def _take_batch(self, batch: WireBatch, origin: Origin) -> None:
+        with self._answer_logged(origin):
+            self.changes.take_batch(batch, origin.spread)
+
+    @_takes("patch")
+    def _take_patch(self, patch: Patch, origin: Origin) -> None:
+        with self._answer_logged(origin):
+            self.changes.take_patch(patch, origin.spread)
+
+    @contextmanager
+    def _answer_logged(self, origin: Origin) -> Iterator[None]:
+        """Log what a VM has answered to a question, unless it was known."""
+        known = (self._reading.revision, self._reading.configuration)
+        yield
+        revision = self._reading.revision
+        if origin.spread is None and known != (revision, self._reading.configuration):
+            emit(NewsTaken(peer=origin.address[0], revision=revision))
+
+    @_takes("behind")
+    def _take_behind(self, behind: Behind, origin: Origin) -> None:
+        for datagram in self.changes.answer(behind):
+            self._send(datagram, origin.address)
+
+    @_takes("large")
+    def _take_large(self, _large: Large, origin: Origin) -> None:
+        host, port = origin.address
+        self._on_large(f"{host}:{port}")
 
     @_takes("suspect")
-    def _take_suspect(self, told: Suspect, _address: Address) -> None:
+    def _take_suspect(self, told: Suspect, _origin: Origin) -> None:
         self._quarantine.report(told.fingerprint, told.deaths, told.duration)
 
     @_takes("claim")
-    def _take_claim(self, claim: Claim, address: Address) -> None:
-        self._send(Datagram(verdict=self._slots.answer_claim(claim)), address)
+    def _take_claim(self, claim: Claim, origin: Origin) -> None:
+        self._send(Datagram(verdict=self._slots.answer_claim(claim)), origin.address)
 
     @_takes("verdict")
-    def _take_verdict(self, verdict: Verdict, _address: Address) -> None:
+    def _take_verdict(self, verdict: Verdict, _origin: Origin) -> None:
         self._slots.take_verdict(verdict)
 
     @_takes("counts")
-    def _take_counts(self, counts: Counts, _address: Address) -> None:
+    def _take_counts(self, counts: Counts, _origin: Origin) -> None:
         self._slots.take_counts(counts)
 
     @_takes("decline")
-    def _take_decline(self, decline: Decline, _address: Address) -> None:
+    def _take_decline(self, decline: Decline, _origin: Origin) -> None:
         self._slots.take_decline(decline)
 
     @_takes("room")
-    def _take_room(self, room: Room, _address: Address) -> None:
+    def _take_room(self, room: Room, _origin: Origin) -> None:
         self._slots.take_room(room)
 
     def tell_suspect(self, report: SuspectReport) -> None:
@@ -259,14 +317,6 @@
         data = serialize(Datagram(suspect=suspect), _PROTOCOL)
         self._send_to(self._neighbours.all(), data)
 
-    def pass_on(self, batch: Batch) -> None:
-        """Tell the VMs of this region what the store has told."""
-        data = serialize(Datagram(batch=encode_batch(batch)), _PROTOCOL)
-        if len(data) > MAX_DATAGRAM:
-            # They see that this VM knows more, and ask for it.
-            return
-        self._send_to(self._neighbours.near, data)
-
     def send(self, vm: VmRecord, datagram: Datagram) -> None:
         """Send a datagram to one VM."""
         self._send(datagram, Endpoint.from_address(vm.peer_address).pair)
@@ -283,6 +333,7 @@
             run=self._me.run,
             leaving=self._is_leaving(),
             revision=self._reading.revision,
+            configuration=self._reading.configuration,
             standing=int(self._standing()),
             interval=round(interval),
         )
@@ -293,6 +344,9 @@
         if record is not None:
             self.send(record, Datagram(ask=ask))
 
+    def _send_to_all(self, vms: Iterable[VmRecord], datagram: Datagram) -> None:
+        self._send_to(vms, serialize(datagram, _PROTOCOL))
+
     def _send_to(self, peers: Iterable[VmRecord], data: bytes) -> None:
         for peer in peers:
             address = Endpoint.from_address(peer.peer_address).pair
@@ -315,6 +369,7 @@
         run=tell.run,
         is_leaving=tell.leaving,
         revision=tell.revision or 0,
+        configuration=tell.configuration or 0,
         standing=Standing(tell.standing or 0),
         interval=float(tell.interval or 0),
     )
--- a/lagoonlatch/entry/process.py
+++ b/lagoonlatch/entry/process.py
@@ -173,7 +173,7 @@
             bounds.settle_time,
             self._should_watch,
             self._next_wait,
-            lambda batch: self._peers.pass_on(batch),
+            lambda batch: self._peers.changes.pass_on(batch),
             outage,
             clock,
             starts_first=settings.is_first_start,
@@ -205,7 +205,8 @@
             self._allowances,
             quarantine,
             self._slots,
-            lambda: self._news_reader.note_ahead(),
+            lambda: self._news_reader.note_behind(),
+            lambda peer: self._news_reader.call(peer),
             self._peer_table,
             clock,
         )
@@ -215,6 +216,7 @@
             self._sync,
             self._peers.addresses,
             self._peers.addresses_ahead,
+            self._peers.ask,
             clock,
         )
         held = HeldBytes(round(settings.memory_bytes * HELD_PART))
--- a/lagoonlatch/steering/neighbours.py
+++ b/lagoonlatch/steering/neighbours.py
@@ -88,6 +88,17 @@
             self._ready_by_id = {vm.id: vm for vm in self._ready}
         return list(self._ready)
 
+    def far_by_region(self) -> dict[str, list[VmRecord]]:
+        """Return the VMs of each other region that take requests."""
+        region_of = self._region_by_data_centre.get
+        own_region = region_of(self._me.data_centre)
+        vms_by_region: dict[str, list[VmRecord]] = {}
+        for vm in self.ready():
+            region = region_of(vm.data_centre, "")
+            if region != own_region:
+                vms_by_region.setdefault(region, []).append(vm)
+        return vms_by_region
+
     def find(self, vm: str) -> VmRecord | None:
         """Return the record of a VM that can be asked for something."""
         self.ready()
--- a/lagoonlatch/steering/peers.py
+++ b/lagoonlatch/steering/peers.py
@@ -75,6 +75,8 @@
         Names the run of its process.
     revision : int
         Of the store, up to which it knows all changes.
+    configuration : int
+        Revision at which its configuration was written.
     interval : Millis
         Until it tells again.
     """
@@ -83,6 +85,7 @@
     run: int
     is_leaving: bool
     revision: int = 0
+    configuration: int = 0
     standing: Standing = Standing.LISTENS
     interval: Millis = 0.0
 
@@ -138,12 +141,13 @@
             if self.is_heard(vm)
         }
 
-    def ahead_of(self, revision: int) -> list[str]:
-        """Return the VMs that know later changes of the store."""
+    def ahead_of(self, revision: int, configuration: int) -> list[str]:
+        """Return the VMs that know later changes of the store or a later version."""
         return [
             vm
             for vm, telling in self._telling_by_vm.items()
-            if telling.revision > revision and self._is_fresh(vm)
+            if (telling.revision > revision or telling.configuration > configuration)
+            and self._is_fresh(vm)
         ]
 
     def _age(self, vm: str) -> Millis:
--- a/tests/entry/test_news.py
+++ b/tests/entry/test_news.py
@@ -1,56 +1,194 @@
 """What a VM does that is behind the others."""
 
+import pytest
+import zstandard
 from returns.result import Failure, Success
 
 from lagoonlatch.entry import news
 from lagoonlatch.entry.generated import ttypes as wire
-from lagoonlatch.entry.news import BEHIND, LOOK_INTERVAL, NewsReader, encode_batch
-from tests.entry.test_reading import Vm, batch, gone
+from lagoonlatch.entry.news import (
+    ASKED_AT_ONCE,
+    CALL_EVERY,
+    CALLS_AT_ONCE,
+    LOOK_INTERVAL,
+    ROUND,
+    NewsReader,
+    NewsServer,
+)
+from lagoonlatch.entry.packing import encode_batch
+from tests.entry.test_facts import config
+from tests.entry.test_reading import Vm, added, batch, gone, written
 
 
 class Sync:
-    is_failing = False
-    is_gathering = False
+    def __init__(self):
+        self.is_failing = False
+        self.is_gathering = False
 
     def failing_for(self):
         return 0.0
 
 
-def make_reader(vm, ahead):
-    return NewsReader(vm.reading, Sync(), list, lambda revision: ahead, vm.clock)
+class Asker:
+    """A reader whose questions are answered by `answer`, a function of the address."""
 
+    def __init__(self, vm, ahead, answer=lambda peer: None):
+        self.vm = vm
+        self.asked = []
+        self.called = []
+        self._answer = answer
+        self.reader = NewsReader(
+            vm.reading,
+            Sync(),
+            lambda: ahead,
+            lambda *_known: ahead,
+            self._ask,
+            vm.clock,
+        )
+        self.reader.call = self.called.append
 
-def look_until(reader, clock, condition, most=20):
-    for number in range(most):
-        reader._look()
-        if condition():
-            return number
-        clock.advance(LOOK_INTERVAL)
-    return most
+    def _ask(self, peer, _datagram):
+        self.asked.append(peer)
+        self._answer(peer)
 
+    def look_until(self, condition, most=20):
+        for number in range(most):
+            self.reader._look()
+            if condition():
+                return number * ROUND
+            self.vm.clock.advance(ROUND)
+        return None
 
-def test_a_vm_that_is_behind_takes_what_it_misses_from_one_that_is_not(monkeypatch):
+
+def test_a_vm_that_is_behind_takes_what_it_misses_from_one_that_is_not():
+    vm = Vm()
+    news = batch(10, 12, gone("i-1", 12))
+    asker = Asker(vm, ["a"], lambda _peer: vm.reading.take_batch(news))
+    took = asker.look_until(lambda: vm.reading.revision == 12)
+    assert took <= ROUND
+    assert vm.names() == set()
+
+
+def test_two_are_asked_at_once_and_then_others():
+    """Load: the VMs that are ahead have just been cut off, others are ahead too."""
+    asker = Asker(Vm(), ["a", "b", "c", "d"])
+    asker.look_until(lambda: len(asker.asked) >= 4)
+    assert set(asker.asked[:ASKED_AT_ONCE]) != set(asker.asked[ASKED_AT_ONCE:])
+    assert set(asker.asked) == {"a", "b", "c", "d"}
+
+
+def test_a_third_of_the_vms_cut_off_costs_three_rounds_at_most():
+    """Load: 25 VMs are ahead, of which 8 are cut off and not yet known to be."""
+    for _ in range(200):
+        vm = Vm()
+        ahead = [f"vm-{number}" for number in range(25)]
+        cut = set(ahead[::3])
+        news = batch(10, 12, gone("i-1", 12))
+
+        def answer(peer, vm=vm, cut=cut, news=news):
+            if peer not in cut:
+                vm.reading.take_batch(news)
+
+        asker = Asker(vm, ahead, answer)
+        assert asker.look_until(lambda vm=vm: vm.reading.revision == 12) <= 3 * ROUND
+
+
+def test_questions_that_bring_nothing_are_followed_by_a_call():
+    asker = Asker(Vm(), ["a", "b", "c"])
+    asker.look_until(lambda: len(asker.asked) >= ASKED_AT_ONCE * CALL_EVERY)
+    assert len(asker.called) == 1
+
+
+def test_a_configuration_that_is_only_known_to_exist_is_asked_for():
+    """Load: the patch was lost, and nobody has told a later revision yet."""
+    vm = Vm()
+    vm.reading.take_batch(batch(10, 12, configuration=11))
+    asker = Asker(vm, ["a"])
+    reader = NewsReader(
+        vm.reading, Sync(), lambda: ["a"], lambda *_known: [], asker._ask, vm.clock
+    )
+    reader._look()
+    vm.clock.advance(LOOK_INTERVAL)
+    reader._look()
+    assert asker.asked == ["a"]
+
+
+def test_a_watching_vm_asks_for_a_configuration_that_its_watch_will_not_bring():
+    """CONFIG: its reading had advanced by what others passed on, without the patch."""
+    vm = Vm()
+    vm.reading.take_batch(batch(10, 12, configuration=11))
+    asker = Asker(vm, ["a"])
+    asker.reader._sync.is_gathering = True
+    asker.look_until(lambda: asker.asked)
+    assert asker.asked == ["a"]
+
+
+def test_calls_under_way_are_bounded(monkeypatch):
+    spawned = []
+    monkeypatch.setattr(news.gevent, "spawn", lambda *call: spawned.append(call))
     vm = Vm()
-    found = wire.Reading(
-        revision=12, items=[], batch=encode_batch(batch(10, 12, gone("i-1", 12)))
+    reader = NewsReader(vm.reading, Sync(), list, list, print, vm.clock)
+    for peer in ("a", "a", "b", "c", "d"):
+        reader.call(peer)
+    assert len(spawned) == CALLS_AT_ONCE
+
+
+def read(server_vm, vm, monkeypatch):
+    """Let `vm` read from `server_vm` by a call."""
+    server = NewsServer(server_vm.reading)
+    monkeypatch.setattr(
+        news, "_read_since", lambda _peer, *known: Success(server.read_since(*known))
     )
-    monkeypatch.setattr(news, "_call", lambda peer, revision: Success(found))
-    reader = make_reader(vm, ["a"])
-    looks = look_until(reader, vm.clock, lambda: vm.reading.revision == 12)
-    assert looks * LOOK_INTERVAL <= BEHIND + LOOK_INTERVAL
+    NewsReader(vm.reading, Sync(), list, list, print, vm.clock)._call("a")
+
+
+def test_a_call_brings_changes_and_the_configuration(monkeypatch):
+    ahead, vm = Vm(), Vm()
+    ahead.reading.take_batch(batch(10, 12, written(config(4), 11), gone("i-1", 12)))
+    read(ahead, vm, monkeypatch)
+    assert (vm.reading.revision, vm.facts.rules.version) == (12, 4)
     assert vm.names() == set()
 
 
-def test_one_that_does_not_answer_is_not_asked_twice_in_a_row(monkeypatch):
-    """Load: the VM that is ahead has just been cut off, another is ahead too."""
+def test_a_call_brings_all_to_a_vm_that_missed_too_much(monkeypatch):
+    ahead, vm = Vm(), Vm()
+    ahead.reading.take_batch(batch(10, 12, written(config(4), 11), added("i-2", 12)))
+    ahead.reading.take_snapshot(ahead.reading.entries(), 20)
+    read(ahead, vm, monkeypatch)
+    assert (vm.reading.revision, vm.facts.rules.version) == (20, 4)
+    assert vm.names() == {"i-1", "i-2"}
+
+
+ODD = {
+    "bytes that are no snapshot": wire.Reading(snapshot=b"x"),
+    "a snapshot of nothing": wire.Reading(
+        snapshot=zstandard.ZstdCompressor().compress(b"\0")
+    ),
+    "a snapshot without end": wire.Reading(
+        snapshot=zstandard.ZstdCompressor().compress(b"\0" * 40_000_000)
+    ),
+}
+
+
+@pytest.mark.parametrize("name", ODD)
+def test_an_answer_that_makes_no_sense_is_passed_over(name, monkeypatch):
     vm = Vm()
-    asked = []
+    monkeypatch.setattr(news, "_read_since", lambda *_call: Success(ODD[name]))
+    NewsReader(vm.reading, Sync(), list, list, print, vm.clock)._call("a")
+    assert vm.reading.revision == 10
 
-    def call(peer, revision):
-        asked.append(peer)
-        return Failure("no answer")
 
-    monkeypatch.setattr(news, "_call", call)
-    reader = make_reader(vm, ["a", "b"])
-    look_until(reader, vm.clock, lambda: len(asked) == 8)
-    assert all(first != second for first, second in zip(asked, asked[1:], strict=False))
+def test_a_vm_that_does_not_answer_a_call_may_be_called_again(monkeypatch):
+    vm = Vm()
+    monkeypatch.setattr(news, "_read_since", lambda *_call: Failure("no answer"))
+    reader = NewsReader(vm.reading, Sync(), list, list, print, vm.clock)
+    reader._called.add("a")
+    reader._call("a")
+    assert reader._called == set()
+
+
+def test_a_call_answers_a_vm_that_knows_all_with_nothing():
+    vm = Vm()
+    answer = NewsServer(vm.reading).read_since(10, 8)
+    assert answer == wire.Reading()
+    assert encode_batch(vm.reading.batch_since(10)).changes == []
--- a/tests/entry/test_peers.py
+++ b/tests/entry/test_peers.py
@@ -30,7 +30,13 @@
     near = far = ()
 
     def all(self):
-        return []
+        return list(self.near)
+
+    def ready(self):
+        return list(self.near)
+
+    def far_by_region(self):
+        return {}
 
     def forget(self):
         pass
@@ -56,6 +62,7 @@
         Quarantine(clock, death_limit=3),
         Net().vm_by_id["vm-0"],
         lambda: None,
+        lambda _peer: None,
         PeerTable(clock),
         clock,
     )
@@ -77,6 +84,16 @@
     "a claim without a count": wire.Datagram(claim=wire.Claim(vm="v", upstream="u1")),
     "counts of nothing": wire.Datagram(counts=wire.Counts(vm="v")),
     "room nowhere": wire.Datagram(room=wire.Room()),
+    "a patch without pieces": wire.Datagram(patch=wire.Patch(revision=1, data=b"x")),
+    "a patch of endless pieces": wire.Datagram(
+        patch=wire.Patch(1, 0, b"x", b"", piece=0, pieces=2**31 - 1)
+    ),
+    "a patch that is no patch": wire.Datagram(
+        patch=wire.Patch(99, 0, b"x", b"", piece=0, pieces=1)
+    ),
+    "a VM behind nothing": wire.Datagram(behind=wire.Behind()),
+    "much of nothing": wire.Datagram(large=wire.Large()),
+    "a spread alone": wire.Datagram(spread=wire.Spread()),
     "nothing": wire.Datagram(),
 }
 
@@ -104,7 +121,7 @@
 
 def test_each_kind_of_datagram_is_taken():
     fields = {spec[2] for spec in wire.Datagram.thrift_spec if spec is not None}
-    assert set(peers._TAKER_BY_KIND) == fields
+    assert set(peers._TAKER_BY_KIND) | {"spread"} == fields
 
 
 def test_changes_that_fill_more_than_a_datagram_reach_the_region_unasked(monkeypatch):
@@ -117,7 +134,7 @@
         10, 111, *(added(f"i-{n}", n) for n in range(11, 111)), gone("i-1", 111)
     )
     watcher.reading.take_batch(news)
-    link.pass_on(news)
+    link.changes.pass_on(news)
     assert all(len(data) <= peers.MAX_DATAGRAM for data in sent)
     other = make_link(reading=listener.reading)
     for data in reversed(sent):
--- a/tests/entry/test_reading.py
+++ b/tests/entry/test_reading.py
@@ -33,6 +33,10 @@
     return Batch(since=since, until=until, changes=changes, **more)
 
 
+def written(value, revision):
+    return Change("op/config", value, revision)
+
+
 def added(name, revision):
     return Change(f"servers/{name}", upstream(), revision)
 
@@ -110,3 +114,45 @@
     vm.reading.take_snapshot(entries, before + 1)
     assert vm.names() == set()
     assert vm.reading.revision == before + 5
+
+
+def test_a_configuration_is_left_out_of_what_is_passed_on():
+    vm = Vm()
+    vm.reading.take_batch(batch(10, 12, written(config(4), 11), added("i-2", 12)))
+    passed = vm.reading.batch_since(10)
+    assert [change.key for change in passed.changes] == ["servers/i-2"]
+    assert passed.configuration == 11
+
+
+def test_changes_count_while_the_configuration_among_them_is_on_its_way():
+    """DRAIN: a leaving upstream waited behind a configuration of 18 KB."""
+    ahead, vm = Vm(), Vm()
+    ahead.reading.take_batch(batch(10, 12, written(config(4), 11), gone("i-1", 12)))
+    vm.reading.take_batch(ahead.reading.batch_since(10))
+    assert vm.names() == set()
+    assert vm.facts.rules.version == 3
+    assert vm.reading.newest_configuration == 11
+    assert vm.reading.take_patch(ahead.reading.versions.patch_from(8))
+    assert vm.facts.rules.version == 4
+
+
+def test_changes_that_come_too_early_count_once_the_others_have_come():
+    vm = Vm()
+    assert not vm.reading.take_batch(batch(12, 13, gone("i-1", 13)))
+    assert not vm.reading.take_batch(batch(11, 12, added("i-3", 12)))
+    assert vm.reading.take_batch(batch(10, 11, added("i-2", 11)))
+    assert vm.reading.revision == 13
+    assert vm.names() == {"i-2", "i-3"}
+
+
+def test_an_older_configuration_never_comes_back():
+    vm = Vm()
+    first = Vm().reading
+    first.take_batch(batch(10, 12, written(config(4), 12)))
+    patch = first.versions.patch_from(8)
+    vm.reading.take_batch(batch(10, 14, written(config(5), 14)))
+    assert vm.reading.take_patch(patch)
+    assert vm.facts.rules.version == 5
+    vm.reading.take_snapshot(first.entries(), 13)
+    vm.reading.take_batch(batch(14, 15, written(config(4), 12)))
+    assert vm.facts.rules.version == 5
--- a/tests/steering/test_peers.py
+++ b/tests/steering/test_peers.py
@@ -67,10 +67,10 @@
     table = PeerTable(clock)
     table.hear(tell("vm1", revision=10))
     table.hear(tell("vm2", revision=12, standing=Standing.WATCHES))
-    assert table.ahead_of(10) == ["vm2"]
+    assert table.ahead_of(10, 0) == ["vm2"]
     assert table.standing_by_vm()["vm2"] is Standing.WATCHES
     clock.advance(2_000.0)
-    assert table.ahead_of(10) == []
+    assert table.ahead_of(10, 0) == []
     assert table.standing_by_vm() == {}
 
 
