--- a/tests/entry/test_process.py
+++ b/tests/entry/test_process.py
@@ -212,6 +212,27 @@
     assert eventually(lambda: ask(vm, "x") == 401, 6.0)
 
 
+def test_a_vm_cut_from_the_store_sends_nothing_to_an_upstream_whose_entry_is_gone(
+    fleet,
+):
+    """DRAIN: it took its own failing calls for an outage, and held what had left."""
+    vms = fleet.vms_by_id
+    refused = _refuse(fleet, vms["vm-0"], lambda path: True)
+    assert eventually(lambda: "/kv-watch" in refused)
+    # The store goes on telling the others of changes.
+    for number in range(6):
+        gevent.sleep(0.5)
+        fleet.store.put(f"servers/other-{number}", b"odd")
+    instance = fleet.instances_by_id["i-0"]
+    fleet.store.remove("servers/i-0")
+    gevent.sleep(1.0)
+    before = sum(instance.runs_by_request.values())
+    for vm in vms.values():
+        for number in range(10):
+            ask(vm, f"d-{vm.id}-{number}")
+    assert sum(instance.runs_by_request.values()) == before
+
+
 def takes_connections(vm):
     try:
         socket.create_connection(("127.0.0.1", vm.caller_port)).close()
