Give up a watch that other VMs have overtaken

Cause: only the watch's own time-out was looked at. What other VMs pass on shows sooner that the store has changes for it: after 0.5 s the call is broken off, the VM counts as refused at once, another one takes over, and the store is read anew. The break is no failure of the store, so it counts toward no outage.

--- a/lagoonlatch/entry/events.py
+++ b/lagoonlatch/entry/events.py
@@ -130,6 +130,14 @@
     vms: int
 
 
+@log_event()
+class UpstreamHeld(LogEvent):
+    """An upstream's entry is gone, but may only have lapsed; it is used meanwhile."""
+
+    upstream: str
+    hold_ms: int
+
+
 @log_event()
 class UpstreamKnown(LogEvent):
     """The store tells of an upstream, anew or with a change."""
@@ -220,6 +228,14 @@
     revision: int
 
 
+@log_event(logging.WARNING)
+class WatchSilent(LogEvent):
+    """The store has not told this VM's watch of changes that other VMs know."""
+
+    since: int
+    revision: int
+
+
 @log_event()
 class StandingChanged(LogEvent):
     """A change between watching the store and listening to VMs that do."""
--- a/lagoonlatch/entry/sync.py
+++ b/lagoonlatch/entry/sync.py
@@ -15,6 +15,7 @@
     StoreLost,
     StoreRegained,
     WatchHistoryGone,
+    WatchSilent,
 )
 from lagoonlatch.entry.journal import emit
 from lagoonlatch.entry.outage import OutageMeter
@@ -42,6 +43,11 @@
 shows all of them; they start within 0.3 s of each other."""
 
 
+WATCH_LATE: Millis = 500.0
+"""A watch that has not told what others have known for so long is silent; a store that
+answers slowly takes 0.2 s."""
+
+
 class StoreSync:
     """Keeps this VM's reading up to date with the store.
 
@@ -88,6 +94,9 @@
         self._failing_since: Millis | None = None
         self._pause = RETRY_FIRST
         self._must_watch = Event()
+        self._watched_since: int | None = None
+        self._late_since: Millis | None = None
+        self._is_silent = False
         self.is_gathering = False
 
     @property
@@ -113,10 +122,26 @@
             self._step()
 
     def look(self) -> None:
-        """Begin to watch if nobody else of the region does; called now and then."""
+        """Begin to watch if nobody else of the region does; called now and then.
+
+        A watch of this VM that others have overtaken is given up: the store has
+        changes for it, so it would have answered.
+        """
+        self._look_at_watch()
         if not self._must_watch.is_set() and self._should_watch():
             self._must_watch.set()
 
+    def _look_at_watch(self) -> None:
+        since, now = self._watched_since, self._clock.now()
+        if since is None or self._reading.revision <= since:
+            self._late_since = None
+        elif self._late_since is None:
+            self._late_since = now
+        elif now - self._late_since >= WATCH_LATE and not self._is_silent:
+            self._is_silent = True
+            emit(WatchSilent(since=since, revision=self._reading.revision))
+            self._watch.interrupt()
+
     def _step(self) -> None:
         if not self._needs_reading and not self._should_watch():
             self._stand(Standing.LISTENS)
@@ -151,7 +176,17 @@
         self._stand(Standing.WATCHES)
         since = self._reading.revision
         wait = min(self._next_wait(self._alone_wait), LONGEST_WAIT)
-        changes = self._watch.wait_for_changes(since, wait)
+        self._watched_since, self._late_since = since, None
+        try:
+            changes = self._watch.wait_for_changes(since, wait)
+        finally:
+            self._watched_since = None
+        is_silent, self._is_silent = self._is_silent, False
+        if is_silent:
+            # Another VM takes over until this one has read the store anew.
+            self._needs_reading = True
+            self._failing_since = self._clock.now()
+            return None
         if isinstance(changes, Failure):
             error = changes.failure()
             # What happened meanwhile is read anew.
--- a/lagoonlatch/platform/connections.py
+++ b/lagoonlatch/platform/connections.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import contextlib
 from dataclasses import dataclass
 
 import gevent
 from gevent.local import local
-from gevent.socket import socket
+from gevent.socket import SHUT_RDWR, socket
 from geventhttpclient import HTTPClient
 from geventhttpclient.connectionpool import ConnectionPool
 from geventhttpclient.response import HTTPParseError, HTTPSocketPoolResponse
@@ -68,6 +69,7 @@
         )
         self._source = endpoint.source
         self._taken = local()
+        self._in_use: set[socket] = set()
 
     def begin_call(self) -> None:
         """Forget the greenlet's former call."""
@@ -83,6 +85,12 @@
         if self._taken.socket is not None:
             self.release_socket(self._taken.socket)
 
+    def interrupt(self) -> None:
+        """Break the connections of the calls under way; these then fail."""
+        for taken in list(self._in_use):
+            with contextlib.suppress(OSError):
+                taken.shutdown(SHUT_RDWR)
+
     def drop_idle(self) -> None:
         """Close the idle sockets; they may be as silent as one that timed out."""
         while not self._socket_queue.empty():
@@ -100,17 +108,20 @@
     def get_socket(self) -> socket:
         """Take a socket for the greenlet's call."""
         taken = super().get_socket()
+        self._in_use.add(taken)
         self._taken.socket = taken
         self._taken.sent = True
         return taken
 
     def return_socket(self, sock: socket) -> None:
         """Put back a socket that can be used again."""
+        self._in_use.discard(sock)
         self._taken.socket = None
         super().return_socket(sock)
 
     def release_socket(self, sock: socket) -> None:
         """Close a socket that can't be used again."""
+        self._in_use.discard(sock)
         self._taken.socket = None
         super().release_socket(sock)
 
@@ -173,6 +184,10 @@
             deadline.close()
             self._pool.end_call()
 
+    def interrupt(self) -> None:
+        """Let the calls under way fail."""
+        self._pool.interrupt()
+
     def _failed(self, reason: str) -> Result[Answer, CallFailed]:
         self._pool.drop_idle()
         return Failure(CallFailed(reason, self._pool.was_sent()))
--- a/lagoonlatch/platform/kv.py
+++ b/lagoonlatch/platform/kv.py
@@ -150,6 +150,9 @@
         self._observe(_NAME_BY_CALL.get(name, name), result, elapsed)
         return outcome
 
+    def interrupt(self) -> None:
+        self._connections.interrupt()
+
     def close(self) -> None:
         self._connections.close()
 
@@ -286,6 +289,10 @@
             )
         )
 
+    def interrupt(self) -> None:
+        """Let the call that waits fail at once."""
+        self._connections.interrupt()
+
     def close(self) -> None:
         """Close the connection."""
         self._connections.close()
