Count as an outage only a time in which the store answered nobody

Cause: after an outage of the store, entries that are gone are held for 2.3 s, since they may have lapsed. A VM that is cut from the store, or turned away by it, took that for an outage, renewed the hold with each failing call, and told the remaining time with each batch that it passed on; VMs that the store served held what had left until 2.3 s after the end of the cut. Class of fault: one VM's own trouble taken for everybody's, and believed by others.

Change: VMs tell how long ago the store answered a VM that they know of; an outage counts from then. A VM that knows of no such gap holds nothing for others. Works because the store's answer to any VM shows that leases were renewed.

A line and gauges tell what is held and how long the store has been silent.

--- a/lagoonlatch/entry/facts.py
+++ b/lagoonlatch/entry/facts.py
@@ -15,6 +15,7 @@
     LogEvent,
     UpstreamEntryOdd,
     UpstreamGone,
+    UpstreamHeld,
     UpstreamKnown,
     VmEntryOdd,
     VmGone,
@@ -130,6 +131,10 @@
                 self._write(Entry(change.key, change.value, change.revision))
         self._tell_vms()
 
+    def held_count(self) -> int:
+        """Return how many upstreams are held whose entries are gone."""
+        return len(self._missing_ids)
+
     def settle(self) -> None:
         """Drop the upstreams that stayed missing after an outage."""
         if self._missing_ids and self._clock.now() >= self._lapsed_until:
@@ -162,6 +167,8 @@
             upstream_id = key.removeprefix(UPSTREAM_PREFIX)
             if self._clock.now() < self._lapsed_until:
                 self._missing_ids.add(upstream_id)
+                hold = round(self.lapse_left())
+                emit(UpstreamHeld(upstream=upstream_id, hold_ms=hold))
             else:
                 self._drop_upstream(upstream_id)
         elif key.startswith(VM_PREFIX):
--- a/lagoonlatch/entry/peer.thrift
+++ b/lagoonlatch/entry/peer.thrift
@@ -20,6 +20,8 @@
   8: i32 interval,
   // Revision of the store at which the configuration in force was written.
   9: i64 configuration,
+  // Milliseconds since the store answered a VM that this one knows of.
+  10: optional i32 store_age,
 }
 
 struct Change {
--- a/lagoonlatch/entry/peers.py
+++ b/lagoonlatch/entry/peers.py
@@ -35,6 +35,7 @@
 from lagoonlatch.entry.generated.ttypes import Batch as WireBatch
 from lagoonlatch.entry.journal import emit
 from lagoonlatch.entry.loans import Borrower
+from lagoonlatch.entry.outage import OutageMeter
 from lagoonlatch.entry.passing import ChangePasser
 from lagoonlatch.entry.reading import StoreReading
 from lagoonlatch.entry.slots import SlotClient
@@ -66,6 +67,9 @@
 MAX_DATAGRAM = 8_192
 """Largest datagram that is read; what VMs tell stays far below."""
 
+MOST_AGE = 2**31 - 1
+"""Largest age that is told, in milliseconds; the field's size."""
+
 TAKEN_AT_ONCE = 32
 """Datagrams that are taken before other tasks have their turn."""
 
@@ -119,6 +123,8 @@
         Claims slots, and answers the claims of others.
     on_behind : callable
         Is called when another VM knows later changes.
+    outage : OutageMeter
+        Is told when the store last answered other VMs.
     on_large : callable
         Is called with the address of a VM from which to read what is missing.
 
@@ -143,6 +149,7 @@
         slots: SlotClient,
         on_behind: Callable[[], None],
         on_large: Callable[[str], None],
+        outage: OutageMeter,
         table: PeerTable,
         clock: Clock,
     ) -> None:
@@ -151,6 +158,7 @@
         self._slots = slots
         self._on_behind = on_behind
         self._on_large = on_large
+        self._outage = outage
         # VMs that start together would otherwise all tell the same ones at once.
         self._turn = random.getrandbits(16)
         self._is_leaving = is_leaving
@@ -237,6 +245,8 @@
         telling = _to_telling(tell)
         self._address_by_vm[tell.vm] = origin.address
         self._table.hear(telling)
+        if tell.store_age is not None:
+            self._outage.note_served(float(tell.store_age))
         if telling.is_leaving:
             self._neighbours.forget()
         if (
@@ -328,6 +338,7 @@
     def _tell_peers(self, peers: Sequence[VmRecord], interval: Millis) -> None:
         if not peers:
             return
+        store_age = self._outage.served_age()
         tell = Tell(
             vm=self._me.id,
             run=self._me.run,
@@ -336,6 +347,7 @@
             configuration=self._reading.configuration,
             standing=int(self._standing()),
             interval=round(interval),
+            store_age=None if store_age is None else min(round(store_age), MOST_AGE),
         )
         self._send_to(peers, serialize(Datagram(tell=tell), _PROTOCOL))
 
--- a/lagoonlatch/entry/process.py
+++ b/lagoonlatch/entry/process.py
@@ -165,8 +165,8 @@
             self._peer_table,
             clock,
         )
-        self._reading = StoreReading(self._facts, clock)
-        outage = OutageMeter(self._facts.hold_lapsed, clock)
+        outage = self._outage = OutageMeter(self._facts.hold_lapsed, clock)
+        self._reading = StoreReading(self._facts, clock, outage.may_have_been)
         self._sync = StoreSync(
             self._store,
             self._reading,
@@ -207,6 +207,7 @@
             self._slots,
             lambda: self._news_reader.note_behind(),
             lambda peer: self._news_reader.call(peer),
+            outage,
             self._peer_table,
             clock,
         )
@@ -275,6 +276,21 @@
         add("configuration_version", "Version in force", self._version)
         add("store_revision", "Up to which facts are known", self._revision)
         add("store_failing_milliseconds", "0 if it answers", self._sync.failing_for)
+        add(
+            "store_silent_milliseconds",
+            "Since it answered a VM that this one hears of",
+            lambda: self._outage.served_age() or 0.0,
+        )
+        add(
+            "configuration_revision",
+            "Of the store, at which the version in force was written",
+            lambda: self._reading.configuration,
+        )
+        add(
+            "upstreams_held",
+            "Used though their entries are gone, after an outage",
+            self._facts.held_count,
+        )
         add("upstreams", "Upstreams known", lambda: len(self._fleet.ids()))
         add("vms", "VMs that callers may be sent to", lambda: len(self._ready_vms()))
         add("waiting_requests", "Waiting for a slot", lambda: len(self._waiting))
--- a/lagoonlatch/entry/reading.py
+++ b/lagoonlatch/entry/reading.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 from lagoonlatch.clock import Clock, Millis
@@ -49,6 +49,11 @@
 class StoreReading:
     """The facts, and the revision up to which they are complete.
 
+    Parameters
+    ----------
+    may_have_lapsed : callable
+        Returns whether entries may have lapsed lately, as far as this VM knows.
+
     Attributes
     ----------
     revision : int
@@ -58,12 +63,18 @@
         The configurations that were in force here.
     """
 
-    def __init__(self, facts: Facts, clock: Clock) -> None:
+    def __init__(
+        self,
+        facts: Facts,
+        clock: Clock,
+        may_have_lapsed: Callable[[], bool] = lambda: True,
+    ) -> None:
         self.revision = 0
         self.versions = VersionHistory()
         self._wanted_configuration = 0
         self._early: list[Batch] = []
         self._facts = facts
+        self._may_have_lapsed = may_have_lapsed
         self._clock = clock
         self._batches: deque[tuple[Millis, Batch]] = deque()
 
@@ -178,7 +189,8 @@
         self._wanted_configuration = max(self._wanted_configuration, configuration)
 
     def _hold(self, lapse_left: Millis) -> None:
-        if lapse_left > 0.0:
+        # A VM that was cut off takes that for an outage.
+        if lapse_left > 0.0 and self._may_have_lapsed():
             self._facts.hold_lapsed(lapse_left)
 
     def _keep(self, batch: Batch) -> None:
--- a/tests/entry/test_outage.py
+++ b/tests/entry/test_outage.py
@@ -41,3 +41,51 @@
     clock.advance(500.0)
     meter.note_success()
     assert noted[-1] == ended
+
+
+def test_calls_that_fail_while_the_store_answers_others_are_no_outage():
+    """DRAIN: a VM that was cut from the store held upstreams that had left."""
+    clock, noted = ManualClock(), []
+    meter = OutageMeter(lambda: noted.append(clock.now()), clock)
+    for _ in range(40):
+        sent = clock.now()
+        clock.advance(200.0)
+        meter.note_served(150.0)
+        meter.note_failure(sent)
+    meter.note_success()
+    assert not noted
+    assert not meter.may_have_been()
+
+
+def test_an_outage_counts_from_the_last_answer_to_anybody():
+    clock, noted = ManualClock(), []
+    meter = OutageMeter(lambda: noted.append(clock.now()), clock)
+    meter.note_failure(clock.now())
+    clock.advance(3_000.0)
+    meter.note_served(OUTAGE / 2)
+    meter.note_failure(clock.now())
+    assert not noted
+    clock.advance(OUTAGE)
+    meter.note_failure(clock.now())
+    assert len(noted) == 1
+
+
+def test_an_answer_in_the_future_is_none():
+    clock = ManualClock()
+    meter = OutageMeter(lambda: None, clock)
+    meter.note_served(-5_000.0)
+    assert meter.served_age() is None
+
+
+def test_what_others_say_of_an_outage_is_believed_while_there_may_have_been_one():
+    clock = ManualClock()
+    meter = OutageMeter(lambda: None, clock)
+    assert meter.may_have_been()
+    for _ in range(100):
+        clock.advance(100.0)
+        meter.note_served(50.0)
+    assert not meter.may_have_been()
+    clock.advance(OUTAGE + 100.0)
+    assert meter.may_have_been()
+    meter.note_served(0.0)
+    assert meter.may_have_been()
--- a/tests/entry/test_peers.py
+++ b/tests/entry/test_peers.py
@@ -9,6 +9,7 @@
 
 from lagoonlatch.entry import peers
 from lagoonlatch.entry.generated import ttypes as wire
+from lagoonlatch.entry.outage import OutageMeter
 from lagoonlatch.entry.peers import PeerLink
 from lagoonlatch.standins.manual_clock import ManualClock
 from lagoonlatch.steering.allowances import Allowances
@@ -63,6 +64,7 @@
         Net().vm_by_id["vm-0"],
         lambda: None,
         lambda _peer: None,
+        OutageMeter(lambda: None, clock),
         PeerTable(clock),
         clock,
     )
@@ -76,6 +78,9 @@
     "an unknown standing": wire.Datagram(
         tell=wire.Tell(vm="v", run=1, leaving=False, standing=99, interval=1)
     ),
+    "a store that answers in the future": wire.Datagram(
+        tell=wire.Tell(vm="v", run=1, leaving=False, interval=1, store_age=-(2**31))
+    ),
     "a tell without fields": wire.Datagram(tell=wire.Tell()),
     "an ask without tokens": wire.Datagram(ask=wire.Ask(organisation="o")),
     "a loan without tokens": wire.Datagram(loan=wire.Loan(number=1)),
--- a/tests/entry/test_reading.py
+++ b/tests/entry/test_reading.py
@@ -156,3 +156,12 @@
     vm.reading.take_snapshot(first.entries(), 13)
     vm.reading.take_batch(batch(14, 15, written(config(4), 12)))
     assert vm.facts.rules.version == 5
+
+
+def test_a_vm_that_saw_the_store_at_work_holds_nothing_for_others():
+    """DRAIN: VMs cut from the store told the others to hold what had been removed."""
+    vm = Vm()
+    vm.reading = StoreReading(vm.facts, vm.clock, lambda: False)
+    vm.reading.take_snapshot(vm.facts.entries(), 10)
+    vm.reading.take_batch(batch(10, 11, gone("i-1", 11), lapse_left=2_300.0))
+    assert vm.names() == set()
