Check an upstream right before a request is sent to it

Now the last check stands behind the connection; the request is placed again, as it has not been sent.

--- a/lagoonlatch/entry/attempts.py
+++ b/lagoonlatch/entry/attempts.py
@@ -91,6 +91,10 @@
             reason = error.strerror or type(error).__name__
             self._prober.suspect(upstream, f"no connection: {reason}")
             return NotRun(reason, reached=False)
+        if not self._fleet.is_usable(upstream):
+            # News of it came while the connection was opened.
+            connection.close()
+            return NotRun("not to be used any more", reached=False)
         timer = gevent.Timeout(
             max(deadline - self._clock.now(), 1.0) / MILLIS_PER_SECOND
         )
