Follow what upstreams say of themselves: leaving, and wanting nothing for a while

Both are decoded once in platform/headers.py, hold for the run that the request was sent to, are checked where places are chosen and right before a request is sent, and keep health checks away too.

Other VMs of the region (8) are told of an upstream that leaves before the store has told of it; their word makes a VM more careful only. Requests that wait for upstreams of which none may be used any more are placed again. While all of a service rest, callers are refused at once and told to come back as the upstreams return; while all leave, they are refused at once too: what an upstream still takes after its word can't be told from what it must not get.

Callers don't see either field of an answer that is passed on.

--- a/lagoonlatch/entry/attempts.py
+++ b/lagoonlatch/entry/attempts.py
@@ -22,6 +22,7 @@
 from lagoonlatch.entry.metrics import EntryMetrics
 from lagoonlatch.entry.pool import ConnectionPool
 from lagoonlatch.entry.probes import Prober
+from lagoonlatch.entry.wishes import Wishes
 from lagoonlatch.steering.admission import Admission
 from lagoonlatch.steering.upstreams import Fleet, UpstreamState
 from lagoonlatch.upstreams.quarantine import Quarantine, SuspectReport
@@ -40,6 +41,7 @@
         admission: Admission,
         quarantine: Quarantine,
         tell_suspect: Callable[[SuspectReport], None],
+        wishes: Wishes,
         metrics: EntryMetrics,
         clock: Clock,
     ) -> None:
@@ -49,6 +51,7 @@
         self._admission = admission
         self._quarantine = quarantine
         self._tell_suspect = tell_suspect
+        self._wishes = wishes
         self._metrics = metrics
         self._clock = clock
 
@@ -137,6 +140,7 @@
             case Answered(answer):
                 self._quarantine.clear(fingerprint)
                 self._learn_load(upstream, answer)
+                self._wishes.note(upstream, answer)
                 if answer.status < _FIRST_FAILURE:
                     upstream.note_success()
                 else:
@@ -150,6 +154,7 @@
                 upstream.note_failure()
                 if answer is not None:
                     self._learn_load(upstream, answer)
+                    self._wishes.note(upstream, answer)
             case Unknown(how=Failing.RESET | Failing.CLOSED, reason=reason):
                 upstream.note_failure()
                 if not self._pool.has_living(upstream.record):
--- a/lagoonlatch/entry/events.py
+++ b/lagoonlatch/entry/events.py
@@ -138,6 +138,30 @@
     hold_ms: int
 
 
+@log_event()
+class UpstreamLeaving(LogEvent):
+    """An upstream, or a VM that it answered, says that it leaves."""
+
+    upstream: str
+    told_by: str
+
+
+@log_event()
+class UpstreamResting(LogEvent):
+    """An upstream wants nothing from this VM for a while."""
+
+    upstream: str
+    rest_ms: int
+
+
+@log_event(logging.WARNING)
+class UpstreamWishOdd(LogEvent):
+    """An upstream's wish for rest can't be read, or is cut to the longest one."""
+
+    upstream: str
+    why: str
+
+
 @log_event()
 class UpstreamKnown(LogEvent):
     """The store tells of an upstream, anew or with a change."""
--- a/lagoonlatch/entry/exchange.py
+++ b/lagoonlatch/entry/exchange.py
@@ -298,7 +298,7 @@
             status=self._head.status_code,
             headers=[(bytes(n), bytes(v)) for n, v in self._head.headers.raw_items()],
             body=bytes(self._body),
-            fields=read_answer_fields(lower),
+            fields=read_answer_fields(lower, self._head.status_code),
             has_stamp=any(is_stamp(name) for name, _ in lower),
         )
 
--- a/lagoonlatch/entry/handling.py
+++ b/lagoonlatch/entry/handling.py
@@ -28,11 +28,12 @@
 from lagoonlatch.entry.metrics import EntryMetrics
 from lagoonlatch.entry.slots import SlotClient
 from lagoonlatch.platform.headers import (
+    for_callers,
     is_own_request_field,
     own_request_fields,
     retry_after,
 )
-from lagoonlatch.steering.admission import Admission
+from lagoonlatch.steering.admission import Admission, return_delay
 from lagoonlatch.steering.allowances import Allowances
 from lagoonlatch.steering.model import Organisation, Route
 from lagoonlatch.steering.placement import Candidates, Placement, Wish
@@ -91,6 +92,10 @@
     def __init__(self) -> None:
         self._offered: AsyncResult = AsyncResult()
 
+    def displace(self) -> None:
+        """Tell that none of the upstreams that it waits for may be used any more."""
+        self._offered.set(None)
+
     def offer(self, upstream: UpstreamState) -> None:
         """Hand over a place."""
         # It counts as taken at once, so that the next in line sees it.
@@ -98,16 +103,28 @@
         self._offered.set(upstream)
 
     def await_offer(self, wait: Millis) -> UpstreamState | None:
-        """Return the place, None if there is none within `wait`."""
+        """Return the place, None if there is none within `wait`.
+
+        Raises
+        ------
+        DisplacedError
+            If the request must be placed again.
+        """
         try:
             self._offered.wait(timeout=wait / MILLIS_PER_SECOND)
         finally:
             # Also when the caller has left meanwhile and this task is ended.
-            if self._offered.ready():
+            if self._offered.value is not None:
                 self._offered.value.in_flight -= 1
+        if self._offered.ready() and self._offered.value is None:
+            raise DisplacedError
         return self._offered.value
 
 
+class DisplacedError(Exception):
+    """A request waits for upstreams of which none may be used any more."""
+
+
 class RequestHandler:
     """Answers the requests of callers."""
 
@@ -231,8 +248,7 @@
                 return self._give_up(journey, "out of time")
             upstream = self._find_place(journey)
             if upstream is None:
-                wait = self._admission.retry_delay(journey.route)
-                return self._give_up(journey, "no room", wait)
+                return self._refuse_place(journey)
             try:
                 answer = self._use_place(journey, upstream)
             finally:
@@ -241,6 +257,21 @@
             if answer is not None:
                 return answer
 
+    def _refuse_place(self, journey: _Journey) -> CallerAnswer:
+        rests = self._placement.rests(self._wish(journey))
+        if rests:
+            return self._give_up(journey, "upstreams rest", return_delay(rests))
+        wait = self._admission.retry_delay(journey.route)
+        return self._give_up(journey, "no room", wait)
+
+    def _wish(self, journey: _Journey) -> Wish:
+        return Wish(
+            service=journey.service,
+            object_name=journey.object_name(),
+            regions=journey.regions,
+            tried=frozenset(journey.tried),
+        )
+
     def _use_place(
         self, journey: _Journey, upstream: UpstreamState
     ) -> CallerAnswer | None:
@@ -251,7 +282,10 @@
     def _find_place(self, journey: _Journey) -> UpstreamState | None:
         """Return an upstream of which a slot was taken; None if none is to be had."""
         while True:
-            upstream = self._take_place(journey)
+            try:
+                upstream = self._take_place(journey)
+            except DisplacedError:
+                continue
             if upstream is None or self._placement.may_use(upstream):
                 return upstream
             # It has left, or its data centre was evacuated, during the claim.
@@ -260,13 +294,7 @@
     def _take_place(self, journey: _Journey) -> UpstreamState | None:
         route = journey.route
         candidates = self._placement.candidates(
-            Wish(
-                service=journey.service,
-                object_name=journey.object_name(),
-                regions=journey.regions,
-                tried=frozenset(journey.tried),
-            ),
-            self._admission.stay(route),
+            self._wish(journey), self._admission.stay(route)
         )
         left = journey.deadline - self._clock.now()
         longest = self._admission.longest_wait(route, left)
@@ -491,7 +519,8 @@
 
 
 def _pass_on(answer: UpstreamAnswer) -> CallerAnswer:
-    return CallerAnswer(status=answer.status, headers=answer.headers, body=answer.body)
+    headers = for_callers(answer.status, answer.headers)
+    return CallerAnswer(status=answer.status, headers=headers, body=answer.body)
 
 
 def _refusal(wait: Millis) -> CallerAnswer:
--- a/lagoonlatch/entry/peer.thrift
+++ b/lagoonlatch/entry/peer.thrift
@@ -141,6 +141,14 @@
   3: i64 ticket,
 }
 
+// An upstream has said in an answer that it leaves.
+struct Left {
+  1: string upstream,
+  // Names its run.
+  2: double born,
+  3: string vm,
+}
+
 // A request that has ended upstreams which ran it.
 struct Suspect {
   1: string fingerprint,
@@ -165,6 +173,7 @@
   12: optional Behind behind,
   13: optional Large large,
   14: optional Spread spread,
+  15: optional Left left,
 }
 
 struct Item {
--- a/lagoonlatch/entry/peers.py
+++ b/lagoonlatch/entry/peers.py
@@ -24,6 +24,7 @@
     Datagram,
     Decline,
     Large,
+    Left,
     Loan,
     Patch,
     Room,
@@ -43,7 +44,7 @@
 from lagoonlatch.steering.allowances import Allowances
 from lagoonlatch.steering.holders import Holders
 from lagoonlatch.steering.lenders import Lenders
-from lagoonlatch.steering.model import VmRecord
+from lagoonlatch.steering.model import UpstreamRecord, VmRecord
 from lagoonlatch.steering.neighbours import Neighbours
 from lagoonlatch.steering.peers import PeerTable, Rounds, Telling
 from lagoonlatch.steering.watchers import Standing
@@ -67,6 +68,10 @@
 MAX_DATAGRAM = 8_192
 """Largest datagram that is read; what VMs tell stays far below."""
 
+LEFT_TOLD = 8
+"""VMs that are told of an upstream that leaves; a second's tells at most, however many
+upstreams are released together."""
+
 MOST_AGE = 2**31 - 1
 """Largest age that is told, in milliseconds; the field's size."""
 
@@ -123,6 +128,8 @@
         Claims slots, and answers the claims of others.
     on_behind : callable
         Is called when another VM knows later changes.
+    on_left : callable
+        Is called with an upstream, its run and the VM that says that it leaves.
     outage : OutageMeter
         Is told when the store last answered other VMs.
     on_large : callable
@@ -149,6 +156,7 @@
         slots: SlotClient,
         on_behind: Callable[[], None],
         on_large: Callable[[str], None],
+        on_left: Callable[[str, float, str], None],
         outage: OutageMeter,
         table: PeerTable,
         clock: Clock,
@@ -158,6 +166,7 @@
         self._slots = slots
         self._on_behind = on_behind
         self._on_large = on_large
+        self._on_left = on_left
         self._outage = outage
         # VMs that start together would otherwise all tell the same ones at once.
         self._turn = random.getrandbits(16)
@@ -321,6 +330,20 @@
     def _take_room(self, room: Room, _origin: Origin) -> None:
         self._slots.take_room(room)
 
+    @_takes("left")
+    def _take_left(self, left: Left, _origin: Origin) -> None:
+        self._on_left(left.upstream, float(left.born), left.vm)
+
+    def tell_left(self, upstream: UpstreamRecord) -> None:
+        """Tell some VMs of this region that an upstream has said that it leaves.
+
+        The store's news reach all of them soon after.
+        """
+        near = list(self._neighbours.near)
+        told = random.sample(near, min(LEFT_TOLD, len(near)))
+        left = Left(upstream.id, upstream.born, self._me.id)
+        self._send_to(told, serialize(Datagram(left=left), _PROTOCOL))
+
     def tell_suspect(self, report: SuspectReport) -> None:
         """Tell the other VMs of a request that has ended an upstream."""
         suspect = Suspect(report.fingerprint, report.deaths, report.duration)
--- a/lagoonlatch/entry/probes.py
+++ b/lagoonlatch/entry/probes.py
@@ -13,6 +13,7 @@
 from lagoonlatch.entry.facts import Facts
 from lagoonlatch.entry.journal import emit
 from lagoonlatch.entry.messages import Answered, Outcome, UpstreamRequest
+from lagoonlatch.entry.wishes import Wishes
 from lagoonlatch.platform.headers import health_request_fields
 from lagoonlatch.steering.upstreams import UpstreamState
 
@@ -29,8 +30,11 @@
 class Prober:
     """Checks suspects, one task for each."""
 
-    def __init__(self, facts: Facts, held: HeldBytes, clock: Clock) -> None:
+    def __init__(
+        self, facts: Facts, held: HeldBytes, wishes: Wishes, clock: Clock
+    ) -> None:
         self._held = held
+        self._wishes = wishes
         self._facts = facts
         self._clock = clock
         self._on_dead_by_id: defaultdict[str, list[Callable[[], None]]] = defaultdict(
@@ -60,7 +64,11 @@
     def _probe_until_known(self, upstream: UpstreamState) -> None:
         pause = FIRST_PAUSE
         since = self._clock.now()
-        while upstream.is_suspect and not upstream.is_gone:
+        while upstream.is_suspect and not (upstream.is_gone or upstream.is_leaving):
+            rest = upstream.rest_left()
+            if rest > 0.0:
+                gevent.sleep(rest / MILLIS_PER_SECOND)
+                continue
             if self._probe(upstream, since):
                 self._on_dead_by_id.pop(upstream.record.id, None)
                 return
@@ -75,11 +83,14 @@
         if not service:
             return False
         outcome = self._check(upstream.record.address, service.health_path)
-        if not isinstance(outcome, Answered) or outcome.answer.status != _OK:
+        if not isinstance(outcome, Answered):
             return False
         fields = outcome.answer.fields
         if fields.upstream and fields.upstream != upstream.record.id:
             return False
+        self._wishes.note(upstream, outcome.answer)
+        if outcome.answer.status != _OK:
+            return False
         upstream.clear_suspicion(fields.cold_left)
         emit(
             UpstreamTrusted(
--- a/lagoonlatch/entry/process.py
+++ b/lagoonlatch/entry/process.py
@@ -44,6 +44,7 @@
 from lagoonlatch.entry.registration import Registration
 from lagoonlatch.entry.slots import SlotClient
 from lagoonlatch.entry.sync import StoreSync
+from lagoonlatch.entry.wishes import Wishes
 from lagoonlatch.exit_codes import ExitCode
 from lagoonlatch.logs import configure_logs
 from lagoonlatch.platform.endpoint import Endpoint
@@ -207,6 +208,7 @@
             self._slots,
             lambda: self._news_reader.note_behind(),
             lambda peer: self._news_reader.call(peer),
+            lambda *left: self._wishes.take_word(*left),
             outage,
             self._peer_table,
             clock,
@@ -222,14 +224,16 @@
         )
         held = HeldBytes(round(settings.memory_bytes * HELD_PART))
         self._pool = ConnectionPool(held, clock)
+        self._wishes = Wishes(self._fleet, self._pool, self._peers.tell_left)
         admission = Admission()
         attempts = Attempts(
             self._fleet,
             self._pool,
-            Prober(self._facts, held, clock),
+            Prober(self._facts, held, self._wishes, clock),
             admission,
             quarantine,
             self._peers.tell_suspect,
+            self._wishes,
             self._metrics,
             clock,
         )
@@ -292,6 +296,7 @@
             self._facts.held_count,
         )
         add("upstreams", "Upstreams known", lambda: len(self._fleet.ids()))
+        add("upstreams_resting", "Want nothing for now", self._fleet.resting_count)
         add("vms", "VMs that callers may be sent to", lambda: len(self._ready_vms()))
         add("waiting_requests", "Waiting for a slot", lambda: len(self._waiting))
         add("caller_connections", "Open", lambda: len(self._connections))
--- a/lagoonlatch/operators/explain.py
+++ b/lagoonlatch/operators/explain.py
@@ -22,10 +22,19 @@
         "store_lost",
         "store_regained",
         "watch_history_gone",
+        "watch_silent",
     }
 )
 _UPSTREAM_EVENTS = frozenset(
-    {"upstream_known", "upstream_gone", "upstream_suspected", "upstream_trusted"}
+    {
+        "upstream_gone",
+        "upstream_held",
+        "upstream_known",
+        "upstream_leaving",
+        "upstream_resting",
+        "upstream_suspected",
+        "upstream_trusted",
+    }
 )
 
 
--- a/lagoonlatch/platform/headers.py
+++ b/lagoonlatch/platform/headers.py
@@ -13,6 +13,17 @@
 _TOKEN_SCHEME = b"token"
 _AFFINITY_COOKIE = b"Affinity-Key"
 
+_LEAVING = b"server-leaving"
+_REST = b"retry-after"
+_UNAVAILABLE = 503
+
+_SHOWN = 40
+"""Bytes of a value that a log line shows."""
+
+LONGEST_REST: Millis = 60_000.0
+"""A wish for a longer rest is taken for an error: an upstream that is replaced is gone
+by then, and one that isn't must not be lost for an hour by one wrong number."""
+
 # Set by this system; a caller's own are not passed on.
 _OWN_REQUEST_FIELDS = frozenset(
     {b"authorization", b"tenant", b"expect-instance", b"deadline-ms"}
@@ -68,6 +79,13 @@
         Id of the upstream, in health answers and misdirected requests.
     cold_left : Millis
         How long it stays cold; 0 if it isn't.
+    is_leaving : bool
+        Whether it says that it leaves.
+    rest : Millis
+        For how long it wants nothing from this VM, at most `LONGEST_REST`; 0 if it
+        doesn't say.
+    odd : str
+        What could not be decoded of its wishes; empty if nothing.
     """
 
     request_id: bytes
@@ -76,6 +94,9 @@
     keep_alive: Millis | None
     upstream: str
     cold_left: Millis
+    is_leaving: bool = False
+    rest: Millis = 0.0
+    odd: str = ""
 
 
 def read_request_fields(headers: Iterable[tuple[bytes, bytes]]) -> RequestFields:
@@ -113,9 +134,13 @@
     return b"Retry-After", f"{seconds:g}".encode()
 
 
-def read_answer_fields(headers: Iterable[tuple[bytes, bytes]]) -> AnswerFields:
+def read_answer_fields(
+    headers: Iterable[tuple[bytes, bytes]], status: int = 0
+) -> AnswerFields:
     """Decode an upstream's header; names are in lower case."""
-    value_by_name = dict(headers)
+    fields = list(headers)
+    value_by_name = dict(fields)
+    rest, odd = _rest(fields) if status == _UNAVAILABLE else (0.0, "")
     return AnswerFields(
         request_id=value_by_name.get(b"request-id", b""),
         not_run=b"not-run" in value_by_name,
@@ -123,9 +148,44 @@
         keep_alive=_keep_alive(value_by_name.get(b"keep-alive", b"")),
         upstream=value_by_name.get(b"instance-id", b"").decode("latin-1"),
         cold_left=_positive(value_by_name.get(b"cold-ms")) or 0.0,
+        # Of several fields the one that asks for more care counts.
+        is_leaving=any(
+            name == _LEAVING and value.strip() == b"1" for name, value in fields
+        ),
+        rest=rest,
+        odd=odd,
     )
 
 
+def for_callers(status: int, headers: HeaderList) -> HeaderList:
+    """Return an upstream's header without what it says to this VM alone.
+
+    A caller that took the upstream's wish for its own would stay away though others
+    serve the request.
+    """
+    hidden = {_LEAVING} | ({_REST} if status == _UNAVAILABLE else set())
+    return [(name, value) for name, value in headers if name.lower() not in hidden]
+
+
+def _rest(fields: HeaderList) -> tuple[Millis, str]:
+    """Return the longest sound wish for rest, and what could not be decoded."""
+    rest, odd = 0.0, ""
+    for name, value in fields:
+        if name != _REST:
+            continue
+        try:
+            seconds = float(value)
+        except ValueError:
+            seconds = math.nan
+        if not 0.0 <= seconds < math.inf:
+            odd = f"{value[:_SHOWN]!r} is no number of seconds"
+            continue
+        if seconds * MILLIS_PER_SECOND > LONGEST_REST:
+            odd = f"{value[:_SHOWN]!r} is over {LONGEST_REST / MILLIS_PER_SECOND:g} s"
+        rest = max(rest, min(seconds * MILLIS_PER_SECOND, LONGEST_REST))
+    return rest, odd
+
+
 def _positive(value: bytes | None) -> Millis | None:
     try:
         number = float(value) if value is not None else 0.0
--- a/lagoonlatch/steering/admission.py
+++ b/lagoonlatch/steering/admission.py
@@ -7,6 +7,9 @@
 
 from __future__ import annotations
 
+import random
+from collections.abc import Sequence
+
 from lagoonlatch.clock import Millis
 from lagoonlatch.steering.model import Route
 
@@ -26,6 +29,10 @@
 LONGEST_RETRY: Millis = 2_000.0
 """Bounds of the time after which a refused caller is told to come back."""
 
+RETURN_SPREAD: Millis = 1_000.0
+"""Time over which callers of an upstream that returns are spread; a few requests'
+durations."""
+
 
 class Admission:
     """Learns how long requests take and bounds their waiting."""
@@ -60,3 +67,18 @@
         """Return after which time a refused caller is likely to find room."""
         duration = self._duration_by_route.get(route.id, route.goal)
         return min(max(duration, SHORTEST_RETRY), LONGEST_RETRY)
+
+
+def return_delay(rests: Sequence[Millis]) -> Millis:
+    """Return when a caller should come back to upstreams that all want nothing.
+
+    The load answered here: all callers of a service at once. Each is sent to the
+    return of one upstream, so that they come as the upstreams do, and somewhat later,
+    so that those of one upstream don't come together.
+
+    Parameters
+    ----------
+    rests : sequence of Millis
+        How long each upstream wants nothing; not empty.
+    """
+    return random.choice(rests) + random.uniform(0.0, RETURN_SPREAD)
--- a/lagoonlatch/steering/placement.py
+++ b/lagoonlatch/steering/placement.py
@@ -103,8 +103,7 @@
         failing = FAILING_SHARE + _mean([state.failure_share for state in usable])
         by_region: dict[str, list[UpstreamState]] = defaultdict(list)
         for state in usable:
-            is_allowed = not wish.regions or state.region in wish.regions
-            if is_allowed and state.record.id not in wish.tried:
+            if self._is_allowed(state, wish):
                 by_region[state.region].append(state)
         weights = region_weights(
             self._region,
@@ -151,6 +150,25 @@
             own = False
         return later if waited >= candidates.stays_for else None
 
+    def rests(self, wish: Wish) -> list[Millis]:
+        """Return when those upstreams may be used again that want nothing now.
+
+        Empty if some other upstream may be used, or if none rests.
+        """
+        usable = self._fleet.usable(wish.service)
+        if any(self._is_allowed(state, wish) for state in usable):
+            return []
+        return [
+            state.rest_left()
+            for state in self._fleet.resting(wish.service)
+            if self._is_allowed(state, wish)
+        ]
+
+    @staticmethod
+    def _is_allowed(state: UpstreamState, wish: Wish) -> bool:
+        is_near = not wish.regions or state.region in wish.regions
+        return is_near and state.record.id not in wish.tried
+
     def may_use(self, state: UpstreamState) -> bool:
         """Return whether an upstream may get requests."""
         return self._fleet.is_usable(state)
--- a/lagoonlatch/steering/queueing.py
+++ b/lagoonlatch/steering/queueing.py
@@ -21,13 +21,19 @@
     def pick(self, candidates: Candidates, waited: Millis) -> UpstreamState | None:
         """Return a candidate with a free slot; None to wait on."""
 
+    def may_use(self, state: UpstreamState) -> bool:
+        """Return whether an upstream may get requests."""
+
 
 class Seat(Protocol):
-    """Tells a waiting request its place; called once."""
+    """Tells a waiting request its place; one of both is called once."""
 
     def offer(self, upstream: UpstreamState) -> None:
         """Take the place."""
 
+    def displace(self) -> None:
+        """Look for another place, since none that is waited for may be used."""
+
 
 @dataclass(frozen=True, kw_only=True)
 class Urgency:
@@ -102,3 +108,6 @@
             if upstream is not None:
                 self.leave(waiter.number)
                 waiter.seat.offer(upstream)
+            elif not any(map(self._picker.may_use, waiter.candidates.upstreams)):
+                self.leave(waiter.number)
+                waiter.seat.displace()
--- a/lagoonlatch/steering/upstreams.py
+++ b/lagoonlatch/steering/upstreams.py
@@ -22,6 +22,9 @@
 FORGET_AFTER: Millis = 30_000.0
 """How long the start of an upstream that is gone is remembered."""
 
+LEFT_AFTER: Millis = 600_000.0
+"""How long it is remembered that a run of an upstream leaves; it ends in a minute."""
+
 
 class UpstreamState:
     """One upstream as this VM knows it.
@@ -34,6 +37,9 @@
         Moving average of attempts that it failed, 0 to 1.
     is_suspect : bool
         Whether it must answer a health check before it gets requests again.
+    is_leaving : bool
+        Whether it has said itself, or to another VM, that it leaves; this holds for
+        its whole run, whatever the store still says.
     """
 
     def __init__(
@@ -48,6 +54,8 @@
         self.failure_share = 0.0
         self.is_suspect = False
         self.is_gone = False
+        self.is_leaving = False
+        self._rests_until: Millis = -math.inf
         self._clock = clock
         self._objects: OrderedDict[str, None] = OrderedDict()
         self._cold_until: Millis = -math.inf
@@ -99,6 +107,14 @@
         """Return how long it stays cold; 0 if it is warm."""
         return max(self._cold_until - self._clock.now(), 0.0)
 
+    def rest_left(self) -> Millis:
+        """Return for how long it wants nothing from this VM."""
+        return max(self._rests_until - self._clock.now(), 0.0)
+
+    def set_rest(self, duration: Millis) -> None:
+        """Send it nothing for `duration` at least."""
+        self._rests_until = max(self._rests_until, self._clock.now() + duration)
+
     def set_cold(self, duration: Millis) -> None:
         """Believe that it stays cold for `duration` at least."""
         self._cold_until = max(self._cold_until, self._clock.now() + duration)
@@ -130,6 +146,8 @@
         self._services_by_id: Mapping[str, Service] = {}
         self._evacuated: frozenset[str] = frozenset()
         self._born_by_id: dict[str, tuple[float, Millis]] = {}
+        self._left_by_run: dict[tuple[str, float], Millis] = {}
+        self._rest_until_by_run: dict[tuple[str, float], Millis] = {}
 
     def configure(self, services_by_id: Mapping[str, Service]) -> None:
         """Follow the configuration."""
@@ -168,6 +186,12 @@
         del self._states_by_service[state.record.service][upstream_id]
         now = self._clock.now()
         self._born_by_id[upstream_id] = (state.record.born, now)
+        self._rest_until_by_run = {
+            run: until for run, until in self._rest_until_by_run.items() if until > now
+        }
+        if state.rest_left() > 0.0:
+            run = (upstream_id, state.record.born)
+            self._rest_until_by_run[run] = now + state.rest_left()
         for forgotten in [
             known
             for known, (_, since) in self._born_by_id.items()
@@ -175,6 +199,38 @@
         ]:
             del self._born_by_id[forgotten]
 
+    def note_leaving(self, upstream_id: str, born: float) -> bool:
+        """Note that a run of an upstream leaves; return False if that was known.
+
+        What the store says of the same run afterwards is older.
+        """
+        now = self._clock.now()
+        run = (upstream_id, born)
+        if run in self._left_by_run:
+            return False
+        self._left_by_run = {
+            known: since
+            for known, since in self._left_by_run.items()
+            if now - since < LEFT_AFTER
+        }
+        self._left_by_run[run] = now
+        state = self._states_by_id.get(upstream_id)
+        if state is not None and state.record.born == born:
+            state.is_leaving = True
+        return True
+
+    def resting(self, service: str) -> list[UpstreamState]:
+        """Return the upstreams of a service that only want nothing for a while."""
+        return [
+            state
+            for state in self.of_service(service)
+            if state.rest_left() > 0.0 and self._is_welcome(state)
+        ]
+
+    def resting_count(self) -> int:
+        """Return how many upstreams want nothing from this VM."""
+        return sum(state.rest_left() > 0.0 for state in self._states_by_id.values())
+
     def evacuate(self, data_centres: frozenset[str]) -> None:
         """Send nothing to `data_centres`; those taken back are cold for a while."""
         for state in self._states_by_id.values():
@@ -214,10 +270,14 @@
 
     def is_usable(self, state: UpstreamState) -> bool:
         """Return whether an upstream may get requests."""
+        return state.rest_left() <= 0.0 and self._is_welcome(state)
+
+    def _is_welcome(self, state: UpstreamState) -> bool:
         return not (
             state.is_gone
             or state.record.is_draining
             or state.is_suspect
+            or state.is_leaving
             or state.record.data_centre in self._evacuated
         )
 
@@ -225,6 +285,9 @@
         self, record: UpstreamRecord, region: str, was_running: bool
     ) -> UpstreamState:
         state = UpstreamState(record, region, self._clock)
+        run = (record.id, record.born)
+        state.is_leaving = run in self._left_by_run
+        state.set_rest(self._rest_until_by_run.get(run, 0.0) - self._clock.now())
         self._states_by_id[record.id] = state
         self._states_by_service[record.service][record.id] = state
         remembered = self._born_by_id.pop(record.id, None)
--- a/tests/entry/test_handling.py
+++ b/tests/entry/test_handling.py
@@ -22,7 +22,7 @@
 from lagoonlatch.steering.holders import Part
 from lagoonlatch.steering.homes import SlotHomes
 from lagoonlatch.steering.model import RouteKind, TrafficRules
-from lagoonlatch.steering.placement import Placement
+from lagoonlatch.steering.placement import Placement, Wish
 from lagoonlatch.steering.queueing import WaitingRoom
 from lagoonlatch.steering.repeats import RepeatBudget
 from lagoonlatch.steering.slots import SlotDesk
@@ -344,3 +344,67 @@
     first = claimed[0]
     assert first.record.id not in world.used()
     assert first.in_flight == 0
+
+
+def test_callers_are_refused_at_once_while_all_upstreams_rest():
+    """Load: a service whose upstreams all want nothing for 1 to 3 s."""
+    world = World()
+    for number, name in enumerate(("u1", "u2", "u3"), start=1):
+        world.fleet.find(name).set_rest(number * 1_000.0)
+    started = world.clock.now()
+    delays = []
+    for _ in range(50):
+        answer = world.ask()
+        assert answer.status == 503
+        delays.append(float(dict(answer.headers)[b"Retry-After"]))
+    assert world.clock.now() == started
+    assert world.script.sent == []
+    assert 1.0 <= min(delays) < 2.0 < max(delays) <= 4.0
+
+
+def test_callers_are_refused_at_once_when_all_upstreams_leave():
+    """Load: a bad release; nothing that leaves is sent to, however many callers ask."""
+    world = World()
+    for name in ("u1", "u2", "u3"):
+        world.fleet.note_leaving(name, 1.0)
+    started = world.clock.now()
+    answer = world.ask()
+    assert answer.status == 503
+    assert b"Retry-After" in dict(answer.headers)
+    assert world.clock.now() == started
+    assert world.script.sent == []
+
+
+def test_a_request_that_waits_for_upstreams_that_leave_is_placed_again(monkeypatch):
+    """DRAIN: it waited on for those of its object, though another one had room."""
+    world = World(Answered(make_answer()))
+
+    def claim(upstream, *_claim):
+        is_free = upstream.in_flight < upstream.record.slots
+        upstream.in_flight += is_free
+        return is_free
+
+    monkeypatch.setattr(world.slots, "claim", claim)
+    wish = Wish(service="ledger", object_name="a/7")
+    waited_for = world.handler._placement.candidates(wish, 0.0).upstreams
+    for state in waited_for:
+        state.in_flight = 3
+    asking = gevent.spawn(world.ask)
+    gevent.sleep(0.01)
+    assert world.script.sent == []
+    for state in waited_for:
+        world.fleet.note_leaving(state.record.id, 1.0)
+    world.handler._waiting.offer_slots()
+    assert asking.get(timeout=0.3).status == 200
+    ((name, _, _),) = world.script.sent
+    assert name not in {state.record.id for state in waited_for}
+
+
+def test_what_an_upstream_wants_of_this_vm_is_not_shown_to_callers():
+    answer = make_answer(503)
+    answer.headers.extend([(b"Retry-After", b"9"), (b"Server-Leaving", b"1")])
+    world = World(Answered(answer), kind=RouteKind.UNSAFE)
+    found = world.ask()
+    assert found.status == 503
+    names = {name for name, _ in found.headers}
+    assert not names & {b"Retry-After", b"Server-Leaving"}
--- a/tests/entry/test_peers.py
+++ b/tests/entry/test_peers.py
@@ -19,6 +19,7 @@
 from lagoonlatch.upstreams.quarantine import Quarantine
 from tests.entry.test_reading import Vm, added, batch, gone
 from tests.entry.test_slots import Net
+from tests.steering.samples import make_record
 from tests.steering.test_homes import make_vm
 
 SOURCE = ("127.0.0.1", 9)
@@ -64,6 +65,7 @@
         Net().vm_by_id["vm-0"],
         lambda: None,
         lambda _peer: None,
+        lambda *_left: None,
         OutageMeter(lambda: None, clock),
         PeerTable(clock),
         clock,
@@ -98,6 +100,7 @@
     ),
     "a VM behind nothing": wire.Datagram(behind=wire.Behind()),
     "much of nothing": wire.Datagram(large=wire.Large()),
+    "a left upstream without a run": wire.Datagram(left=wire.Left(upstream="i-1")),
     "a spread alone": wire.Datagram(spread=wire.Spread()),
     "nothing": wire.Datagram(),
 }
@@ -146,3 +149,13 @@
         other.take(data, SOURCE)
     assert listener.reading.revision == 111
     assert "i-1" not in listener.names()
+
+
+def test_some_vms_of_the_region_are_told_that_an_upstream_leaves(monkeypatch):
+    link, sent, heard = make_link(Near()), [], []
+    monkeypatch.setattr(link, "_send_bytes", lambda data, _address: sent.append(data))
+    link.tell_left(make_record("i-1", born=7.0))
+    other = make_link()
+    monkeypatch.setattr(other, "_on_left", lambda *left: heard.append(left))
+    other.take(sent[0], SOURCE)
+    assert heard == [("i-1", 7.0, "vm-0")]
--- a/tests/steering/test_admission.py
+++ b/tests/steering/test_admission.py
@@ -1,4 +1,4 @@
-from lagoonlatch.steering.admission import Admission
+from lagoonlatch.steering.admission import RETURN_SPREAD, Admission, return_delay
 from tests.steering.samples import make_route
 
 ROUTE = make_route(goal=600.0)
@@ -35,3 +35,21 @@
 def test_the_time_to_come_back_is_bounded():
     assert make_admission(10.0).retry_delay(ROUTE) == 200.0
     assert make_admission(60_000.0).retry_delay(ROUTE) == 2_000.0
+
+
+def test_callers_of_upstreams_that_rest_come_back_as_these_return():
+    """Load: 1,000 callers while four upstreams want nothing for 1 to 4 s."""
+    rests = [1_000.0, 2_000.0, 3_000.0, 4_000.0]
+    delays = [return_delay(rests) for _ in range(1_000)]
+    assert min(delays) >= min(rests)
+    assert max(delays) <= max(rests) + RETURN_SPREAD
+    for second in range(1, 5):
+        there = sum(
+            second * 1_000.0 <= delay < (second + 1) * 1_000.0 for delay in delays
+        )
+        assert 150 < there < 350
+
+
+def test_callers_of_one_upstream_that_rests_do_not_come_back_together():
+    delays = sorted(return_delay([2_000.0]) for _ in range(1_000))
+    assert delays[-1] - delays[0] > RETURN_SPREAD / 2
