Soak: upstreams that say they leave or ask for rest; log how old the deciding facts are

The stand-in upstream sends both fields; two kinds of faults play them beside kills, cuts and reloads, with an entry that is written once more as ready while its upstream leaves. The oracle checks both rules from what callers and upstreams see, for VMs out of touch too.

Each final answer's line and a gauge say how long ago the VM last knew that it missed nothing: from its own watch, or from what a watching VM told. A VM whose facts are old goes on serving: what it doesn't know, upstreams tell it.

--- a/lagoonlatch/entry/events.py
+++ b/lagoonlatch/entry/events.py
@@ -61,6 +61,7 @@
     waited_ms: int
     total_ms: int
     config: int
+    facts_age_ms: int
 
 
 @log_event()
--- a/lagoonlatch/entry/facts.py
+++ b/lagoonlatch/entry/facts.py
@@ -77,6 +77,7 @@
         self._roster_has_changed = False
         self._entry_by_key: dict[str, Entry] = {}
         self._lapsed_until: Millis = 0.0
+        self._current_at: Millis = clock.now()
         self._missing_ids: set[str] = set()
 
     def on_rules(self, listener: Callable[[TrafficRules], None]) -> None:
@@ -95,6 +96,14 @@
         """Call `listener` with the id of each upstream that is gone."""
         self._on_upstream_gone.append(listener)
 
+    def note_current(self) -> None:
+        """Note that nothing newer is known to any VM that this one can hear."""
+        self._current_at = self._clock.now()
+
+    def age(self) -> Millis:
+        """Return how long ago the facts were last known to be up to date."""
+        return self._clock.now() - self._current_at
+
     def entries(self) -> list[Entry]:
         """Return all that was read, as the store holds it."""
         return list(self._entry_by_key.values())
--- a/lagoonlatch/entry/handling.py
+++ b/lagoonlatch/entry/handling.py
@@ -462,6 +462,7 @@
                 waited_ms=round(waited),
                 total_ms=round(total),
                 config=self._facts.rules.version if self._facts.rules else 0,
+                facts_age_ms=round(self._facts.age()),
             )
         )
 
--- a/lagoonlatch/entry/peers.py
+++ b/lagoonlatch/entry/peers.py
@@ -258,6 +258,8 @@
             self._outage.note_served(float(tell.store_age))
         if telling.is_leaving:
             self._neighbours.forget()
+        if telling.standing is Standing.WATCHES:
+            self._reading.note_told(telling.revision, telling.configuration)
         if (
             telling.revision > self._reading.revision
             or telling.configuration > self._reading.configuration
--- a/lagoonlatch/entry/process.py
+++ b/lagoonlatch/entry/process.py
@@ -280,6 +280,11 @@
         add("configuration_version", "Version in force", self._version)
         add("store_revision", "Up to which facts are known", self._revision)
         add("store_failing_milliseconds", "0 if it answers", self._sync.failing_for)
+        add(
+            "facts_age_milliseconds",
+            "Since the facts were last known to be up to date",
+            self._facts.age,
+        )
         add(
             "store_silent_milliseconds",
             "Since it answered a VM that this one hears of",
--- a/lagoonlatch/entry/reading.py
+++ b/lagoonlatch/entry/reading.py
@@ -88,6 +88,11 @@
         """Revision of the newest configuration that is known to exist."""
         return max(self.configuration, self._wanted_configuration)
 
+    def note_told(self, revision: int, configuration: int) -> None:
+        """Take in what the store, or a VM that watches it, knows at this moment."""
+        if revision <= self.revision and configuration <= self.configuration:
+            self._facts.note_current()
+
     def entries(self) -> list[Entry]:
         """Return all entries as the store holds them."""
         return self._facts.entries()
--- a/lagoonlatch/standins/instance.py
+++ b/lagoonlatch/standins/instance.py
@@ -37,6 +37,16 @@
         The organisations that were named to it.
     seen_keys : int
         Requests that came with a key, which must not happen.
+    born : int
+        Names its run; to be raised when it starts again under its id.
+    is_leaving : bool
+        Whether it says in all its answers that it leaves.
+    rest : Millis or None
+        Requests are turned away while it is set; it is what they are told to wait.
+    arrivals : list of tuple
+        Instant and id of each request that was meant for it.
+    leaving_told, rest_told : list of tuple
+        Instant, id of the request, and for a rest how long, of each answer with one.
     """
 
     def __init__(self, instance_id: str, work: Millis = 20.0, slots: int = 9) -> None:
@@ -46,6 +56,12 @@
         self.runs: list[tuple[Millis, str]] = []
         self.organisations: set[str] = set()
         self.seen_keys = 0
+        self.born = 1
+        self.is_leaving = False
+        self.rest: Millis | None = None
+        self.arrivals: list[tuple[Millis, str]] = []
+        self.leaving_told: list[tuple[Millis, str]] = []
+        self.rest_told: list[tuple[Millis, str, Millis]] = []
         self._work = work
         self._slots = slots
         self._running = 0
@@ -74,21 +90,32 @@
             "state": state,
             "cold_left_s": 0,
             "seq": 1,
-            "born": 1,
+            "born": self.born,
         }
 
     def _respond(
         self, environ: dict[str, Any], start: Callable[..., Any]
     ) -> Iterable[bytes]:
         headers = [("Instance-Id", self.id), ("Content-Type", "text/plain")]
+        if self.is_leaving:
+            headers.append(("Server-Leaving", "1"))
         if environ["PATH_INFO"] == HEALTH_PATH:
-            start("200 OK", headers)
+            start("503 Leaving" if self.is_leaving else "200 OK", headers)
             return [b"ok"]
         request = environ.get("HTTP_REQUEST_ID", "")
         headers.append(("Request-Id", request))
         if environ.get("HTTP_EXPECT_INSTANCE", self.id) != self.id:
             start("421 Misdirected Request", headers)
             return [b""]
+        self.arrivals.append((_now(), request))
+        if self.is_leaving:
+            self.leaving_told.append((_now(), request))
+        if self.rest is not None:
+            self.rest_told.append((_now(), request, self.rest))
+            seconds = f"{self.rest / MILLIS_PER_SECOND:g}"
+            headers += [("Not-Run", "1"), ("Retry-After", seconds)]
+            start("503 Service Unavailable", headers)
+            return [b""]
         if self._running >= self._slots:
             start("503 Service Unavailable", [*headers, ("Not-Run", "1")])
             return [b""]
@@ -102,7 +129,7 @@
         start: Callable[..., Any],
     ) -> Iterable[bytes]:
         self.runs_by_request[request] += 1
-        self.runs.append((time.monotonic() * MILLIS_PER_SECOND, request))
+        self.runs.append((_now(), request))
         self.organisations.add(environ.get("HTTP_TENANT", ""))
         self.seen_keys += "HTTP_AUTHORIZATION" in environ
         body = environ["wsgi.input"].read()
@@ -115,3 +142,7 @@
         headers.append(("Server-Load", f"{self._running},0,{self._slots}"))
         start("200 OK", headers)
         return [body or environ["PATH_INFO"].encode()]
+
+
+def _now() -> Millis:
+    return time.monotonic() * MILLIS_PER_SECOND
--- a/tests/entry/test_reading.py
+++ b/tests/entry/test_reading.py
@@ -165,3 +165,16 @@
     vm.reading.take_snapshot(vm.facts.entries(), 10)
     vm.reading.take_batch(batch(10, 11, gone("i-1", 11), lapse_left=2_300.0))
     assert vm.names() == set()
+
+
+def test_the_age_of_the_facts_counts_from_when_they_were_last_up_to_date(vm):
+    vm.clock.advance(500.0)
+    vm.reading.note_told(10, 8)
+    assert vm.facts.age() == 0.0
+    vm.clock.advance(700.0)
+    vm.reading.note_told(11, 8)
+    vm.reading.note_told(10, 9)
+    assert vm.facts.age() == 700.0
+    vm.reading.take_batch(batch(10, 11, gone("i-1", 11)))
+    vm.reading.note_told(11, 8)
+    assert vm.facts.age() == 0.0
--- a/tests/soak/kinds.py
+++ b/tests/soak/kinds.py
@@ -228,6 +228,43 @@
         world.register(instance, data_centre)
 
 
+@kind
+def upstream_says_it_leaves(world: World, rng: random.Random, duration: Millis) -> None:
+    """Let an upstream say so in its answers, long before the store does, and return."""
+    name = _any_instance(world, rng)
+    if _is_busy(world, name):
+        return
+    instance = world.instances_by_id[name]
+    data_centre = world.data_centre_by_instance[name]
+    with _Disturbed(world, "upstream_says_it_leaves", name):
+        instance.is_leaving = True
+        _sleep(1_000.0)
+        # Its entry, still ready, is written once more, as by a heartbeat.
+        world.register(instance, data_centre)
+        _sleep(duration + 3_000.0)
+        if rng.random() < 0.5:
+            world.register(instance, data_centre, "draining")
+            _sleep(500.0)
+        world.store.remove(f"{UPSTREAM_PREFIX}{name}")
+        _sleep(500.0)
+        instance.is_leaving = False
+        instance.born += 1
+        world.register(instance, data_centre)
+
+
+@kind
+def upstream_rests(world: World, rng: random.Random, duration: Millis) -> None:
+    """Let an upstream turn all requests away and ask for rest."""
+    name = _any_instance(world, rng)
+    if _is_busy(world, name):
+        return
+    instance = world.instances_by_id[name]
+    with _Disturbed(world, "upstream_rests", name):
+        instance.rest = rng.uniform(1_000.0, 3_000.0)
+        _sleep(duration)
+        instance.rest = None
+
+
 @kind
 def keys_change(world: World, rng: random.Random, _duration: Millis) -> None:
     """Withdraw the key and give another one, and change the rate."""
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Millis
+from lagoonlatch.standins.instance import InstanceStandin
 from tests.soak.world import Asked, World
 
 SETTLE: Millis = 3_000.0
@@ -17,6 +18,13 @@
 DRAIN: Millis = 3_500.0
 """After this an upstream that leaves gets nothing: the bound of 2.5 s and the way."""
 
+LEAVING: Millis = 2_500.0
+"""After a VM has passed on an answer that says so, its upstream gets nothing."""
+
+REST_STARTS: Millis = 500.0
+REST_ARRIVALS = 2
+"""Requests that may still reach an upstream from a VM that it asked for rest."""
+
 QUOTA_WINDOW: Millis = 5_000.0
 QUOTA_EXCESS = 1.1
 QUOTA_SLACK = 20.0
@@ -54,6 +62,8 @@
             yield f"{instance.id} was told of {instance.organisations}"
     yield from _evacuation_problems(world)
     yield from _drain_problems(world)
+    yield from _leaving_problems(world)
+    yield from _rest_problems(world)
     yield from _quota_problems(world)
 
 
@@ -127,6 +137,77 @@
                 yield f"{request}: reached {instance}, which had left"
 
 
+def _leaving_problems(world: World) -> Iterator[str]:
+    """Check what upstreams said themselves; VMs out of touch are bound too."""
+    asked_by_id = {asked.id: asked for asked in world.history.asked}
+    for instance in world.instances_by_id.values():
+        for _, request in instance.leaving_told:
+            told = asked_by_id.get(request)
+            if told is None or not told.status:
+                continue
+            for asked in _arrived(asked_by_id, instance, told.vm):
+                is_late = asked.sent > told.ended + LEAVING
+                is_same_run = _run_at(world, instance.id, asked.ended) == _run_at(
+                    world, instance.id, told.ended
+                )
+                if is_late and is_same_run and not _restarted(world, told, asked):
+                    after = asked.sent - told.ended
+                    yield (
+                        f"{asked.id}: reached {instance.id}, which had told "
+                        f"{told.vm} {after:.0f} ms before that it leaves"
+                    )
+
+
+def _rest_problems(world: World) -> Iterator[str]:
+    asked_by_id = {asked.id: asked for asked in world.history.asked}
+    for instance in world.instances_by_id.values():
+        times_by_request = {request: at for at, request in instance.arrivals}
+        for at, request, rest in instance.rest_told:
+            told = asked_by_id.get(request)
+            if told is None:
+                continue
+            late = [
+                asked
+                for asked in _arrived(asked_by_id, instance, told.vm)
+                if at + REST_STARTS < times_by_request[asked.id] < at + rest
+                and not _restarted(world, told, asked)
+            ]
+            if len(late) > REST_ARRIVALS:
+                yield (
+                    f"{len(late)} requests reached {instance.id} from {told.vm}, "
+                    f"which it had asked for {rest:.0f} ms of rest"
+                )
+
+
+def _arrived(
+    asked_by_id: dict[str, Asked], instance: InstanceStandin, vm: str
+) -> Iterator[Asked]:
+    for _, request in instance.arrivals:
+        asked = asked_by_id.get(request)
+        if asked is not None and asked.vm == vm:
+            yield asked
+
+
+def _run_at(world: World, instance: str, at: Millis) -> int:
+    """Return how often an upstream had left and started again by then."""
+    return sum(
+        span.end < at
+        for span in world.history.spans
+        if span.subject == instance and span.kind == "upstream_says_it_leaves"
+    )
+
+
+def _restarted(world: World, told: Asked, asked: Asked) -> bool:
+    """Return whether the VM may have forgotten what it was told."""
+    return any(
+        span.subject == told.vm
+        and span.kind in ("vm_kill", "vm_stop", "vm_pause")
+        and span.start <= asked.ended
+        and span.end >= told.sent
+        for span in world.history.spans
+    )
+
+
 def _quota_problems(world: World) -> Iterator[str]:
     times = sorted(at for at, _, _ in _runs(world))
     for index, start in enumerate(times):
--- a/tests/soak/planted.py
+++ b/tests/soak/planted.py
@@ -72,6 +72,38 @@
     Fleet.evacuate = lambda self, data_centres: None
 
 
+@plant
+def leaving_ignored() -> None:
+    """Go on sending to upstreams that say they leave, until the store says so."""
+    from lagoonlatch.steering.upstreams import Fleet
+
+    Fleet.note_leaving = lambda self, upstream_id, born: False
+
+
+@plant
+def leaving_forgotten() -> None:
+    """Let an entry of the store bring back an upstream that has said it leaves."""
+    from lagoonlatch.steering.upstreams import Fleet
+
+    put = Fleet.put
+
+    def forget(self, record, was_running=False):
+        put(self, record, was_running)
+        state = self.find(record.id)
+        if state is not None:
+            state.is_leaving = False
+
+    Fleet.put = forget
+
+
+@plant
+def rest_ignored() -> None:
+    """Go on sending to upstreams that ask for rest."""
+    from lagoonlatch.steering.upstreams import UpstreamState
+
+    UpstreamState.set_rest = lambda self, duration: None
+
+
 @plant
 def cut_at_stop() -> None:
     """End at SIGTERM without answering what was taken."""
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -21,3 +21,21 @@
     """The oracle itself: a VM that ends without answering is noticed."""
     verdict = play(3, 6_000.0, planted="cut_at_stop", kinds=("vm_stop",))
     assert verdict.problems
+
+
+PLANTS = {
+    "leaving_ignored": "upstream_says_it_leaves",
+    "leaving_forgotten": "upstream_says_it_leaves",
+    "rest_ignored": "upstream_rests",
+}
+
+
+@pytest.mark.parametrize("planted", PLANTS)
+def test_a_wish_of_an_upstream_that_is_not_followed_is_found(planted):
+    verdict = play(7, 8_000.0, planted=planted, kinds=(PLANTS[planted],))
+    assert verdict.problems
+
+
+def test_wishes_of_upstreams_are_followed():
+    verdict = play(7, 8_000.0, kinds=tuple(PLANTS.values()))
+    assert not verdict.problems
