--- a/lagoonlatch/entry/journal.py
+++ b/lagoonlatch/entry/journal.py
@@ -10,7 +10,6 @@
 import os
 import sys
 from collections import Counter, defaultdict, deque
-from dataclasses import asdict
 
 import gevent
 import structlog
@@ -108,7 +107,7 @@
         if self._count_by_name[event.name] > LINES_PER_SECOND:
             self._left_out[event.name] += 1
             return
-        self._log.log(event.level, event.name, **asdict(event))
+        self._log.log(event.level, event.name, **vars(event))
 
     def note_left_out(self, kind: str, count: int) -> None:
         """Count lines that were left out elsewhere."""
@@ -119,7 +118,7 @@
         left_out, self._left_out = self._left_out, Counter()
         for kind, count in left_out.items():
             line = LinesLeftOut(kind=kind, count=count)
-            self._log.log(line.level, line.name, **asdict(line))
+            self._log.log(line.level, line.name, **vars(line))
 
 
 _JOURNAL = Journal(Clock())
--- a/lagoonlatch/entry/peers.py
+++ b/lagoonlatch/entry/peers.py
@@ -240,10 +240,10 @@
         """Take in one datagram, whatever it holds."""
         try:
             datagram = deserialize(Datagram(), data, _PROTOCOL)
-            for kind, taker in _TAKER_BY_KIND.items():
-                message = getattr(datagram, kind)
-                if message is not None:
-                    taker(self, message, Origin(address, datagram.spread))
+            origin = Origin(address, datagram.spread)
+            for kind, message in vars(datagram).items():
+                if message is not None and kind in _TAKER_BY_KIND:
+                    _TAKER_BY_KIND[kind](self, message, origin)
         except Exception as error:
             # Whatever it raises: the bytes are no sound datagram of a peer, and one
             # of them must not end the VM.
--- a/lagoonlatch/logs.py
+++ b/lagoonlatch/logs.py
@@ -5,6 +5,7 @@
 import sys
 from typing import TextIO
 
+import msgspec
 import structlog
 
 LOG_FORMATS = ("json", "console")
@@ -19,6 +20,10 @@
     return event_dict
 
 
+def _encode(event_dict, default) -> str:
+    return msgspec.json.encode(event_dict, enc_hook=default).decode()
+
+
 def _with_fields(context: dict[str, str]):
     def add(_logger, _method, event_dict):
         return {**context, **event_dict}
@@ -46,7 +51,7 @@
         Fields added to every line, such as the VM and its data centre.
     """
     renderer = (
-        structlog.processors.JSONRenderer()
+        structlog.processors.JSONRenderer(serializer=_encode)
         if log_format == "json"
         else structlog.dev.ConsoleRenderer(colors=False)
     )
--- a/tests/entry/test_journal.py
+++ b/tests/entry/test_journal.py
@@ -118,7 +118,7 @@
             ask(vm, f"n-{number}")
         gevent.sleep(0.3)
     text = path.read_text()
-    assert '"request": "good"' in text
-    assert '"request": "bad"' in text
+    assert '"request":"good"' in text
+    assert '"request":"bad"' in text
     assert KEY not in text
     assert "another-secret" not in text
