--- a/lagoonlatch/entry/events.py
+++ b/lagoonlatch/entry/events.py
@@ -271,7 +271,7 @@
 
 @log_event()
 class NewsTaken(LogEvent):
-    """Another VM's reading of the store has replaced this VM's."""
+    """Another VM has answered with changes of the store that this one missed."""
 
     peer: str
     revision: int
@@ -279,7 +279,7 @@
 
 @log_event()
 class NewsFailed(LogEvent):
-    """Another VM could not be asked for its reading of the store."""
+    """A call to another VM for what this one misses has failed."""
 
     peer: str
     why: str
--- a/lagoonlatch/entry/facts.py
+++ b/lagoonlatch/entry/facts.py
@@ -176,8 +176,9 @@
             upstream_id = key.removeprefix(UPSTREAM_PREFIX)
             if self._clock.now() < self._lapsed_until:
                 self._missing_ids.add(upstream_id)
-                hold = round(self.lapse_left())
-                emit(UpstreamHeld(upstream=upstream_id, hold_ms=hold))
+                if self.fleet.find(upstream_id) is not None:
+                    hold = round(self.lapse_left())
+                    emit(UpstreamHeld(upstream=upstream_id, hold_ms=hold))
             else:
                 self._drop_upstream(upstream_id)
         elif key.startswith(VM_PREFIX):
