Don't read the clock for each upstream that never rests

Each choice of a place asks all upstreams of a service; the check of rests read the clock for each of them.

--- a/lagoonlatch/steering/upstreams.py
+++ b/lagoonlatch/steering/upstreams.py
@@ -109,6 +109,9 @@
 
     def rest_left(self) -> Millis:
         """Return for how long it wants nothing from this VM."""
+        if self._rests_until == -math.inf:
+            # Asked for each upstream at each choice of a place; most never rest.
+            return 0.0
         return max(self._rests_until - self._clock.now(), 0.0)
 
     def set_rest(self, duration: Millis) -> None:
@@ -287,7 +290,8 @@
         state = UpstreamState(record, region, self._clock)
         run = (record.id, record.born)
         state.is_leaving = run in self._left_by_run
-        state.set_rest(self._rest_until_by_run.get(run, 0.0) - self._clock.now())
+        if run in self._rest_until_by_run:
+            state.set_rest(self._rest_until_by_run[run] - self._clock.now())
         self._states_by_id[record.id] = state
         self._states_by_service[record.service][record.id] = state
         remembered = self._born_by_id.pop(record.id, None)
