Log and count the limits that upstreams name

Change: the field is decoded once in platform/headers.py and kept on the upstream's state. upstream_limited and upstream_unlimited say when it was named, changed and ended, the gauge upstreams_limited how many have one. A limit ends only with an answer to a request that was sent after the limit was last named. Nothing decides by it yet.

--- a/lagoonlatch/entry/attempts.py
+++ b/lagoonlatch/entry/attempts.py
@@ -79,7 +79,7 @@
         started = self._clock.now()
         outcome = self._exchange(upstream, request, time_left)
         duration = self._clock.now() - started
-        self._update_state(upstream, outcome, fingerprint)
+        self._update_state(upstream, outcome, fingerprint, started)
         self._record(upstream, request, outcome, duration)
         if (
             isinstance(outcome, Answered)
@@ -143,13 +143,17 @@
         )
 
     def _update_state(
-        self, upstream: UpstreamState, outcome: Outcome, fingerprint: str
+        self,
+        upstream: UpstreamState,
+        outcome: Outcome,
+        fingerprint: str,
+        started: Millis,
     ) -> None:
         match outcome:
             case Answered(answer):
                 self._quarantine.clear(fingerprint)
                 self._update_load(upstream, answer)
-                self._notices.handle_answer(upstream, answer)
+                self._notices.handle_answer(upstream, answer, started)
                 if answer.status < _FIRST_SERVER_ERROR:
                     upstream.note_success()
                 else:
@@ -163,7 +167,7 @@
                 upstream.note_failure()
                 if answer is not None:
                     self._update_load(upstream, answer)
-                    self._notices.handle_answer(upstream, answer)
+                    self._notices.handle_answer(upstream, answer, started)
             case Unknown(kind=FailureKind.RESET | FailureKind.CLOSED, reason=reason):
                 upstream.note_failure()
                 if not self._pool.has_open(upstream.record):
--- a/lagoonlatch/entry/events.py
+++ b/lagoonlatch/entry/events.py
@@ -155,9 +155,24 @@
     rest_ms: int
 
 
+@log_event()
+class UpstreamLimited(LogEvent):
+    """An upstream has named or changed its limit, in requests a second."""
+
+    upstream: str
+    rate: float
+
+
+@log_event()
+class UpstreamUnlimited(LogEvent):
+    """An upstream has answered a newer request without its limit."""
+
+    upstream: str
+
+
 @log_event(logging.WARNING)
 class UpstreamWishOdd(LogEvent):
-    """An upstream's rest time can't be read, or is reduced to the maximum."""
+    """An upstream's rest time or limit can't be read, or its rest time is reduced."""
 
     upstream: str
     why: str
--- a/lagoonlatch/entry/notices.py
+++ b/lagoonlatch/entry/notices.py
@@ -1,12 +1,15 @@
-"""Handle the notices in answers of upstreams that leave or rest."""
+"""Handle the notices in answers of upstreams that leave, rest or name a limit."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 
+from lagoonlatch.clock import Millis
 from lagoonlatch.entry.events import (
     UpstreamLeaving,
+    UpstreamLimited,
     UpstreamResting,
+    UpstreamUnlimited,
     UpstreamWishOdd,
 )
 from lagoonlatch.entry.journal import emit
@@ -35,14 +38,27 @@
         self._pool = pool
         self._report_leaving = report_leaving
 
-    def handle_answer(self, upstream: UpstreamState, answer: UpstreamAnswer) -> None:
-        """Apply the notices in an answer of the run that `upstream` describes."""
+    def handle_answer(
+        self,
+        upstream: UpstreamState,
+        answer: UpstreamAnswer,
+        sent_at: Millis | None = None,
+    ) -> None:
+        """Apply the notices in an answer of the run that `upstream` describes.
+
+        Parameters
+        ----------
+        sent_at : Millis, optional
+            A time at or before which the request was sent. None for health checks,
+            whose answers don't end a limit.
+        """
         record, fields = upstream.record, answer.fields
         if fields.odd:
             emit(UpstreamWishOdd(upstream=record.id, why=fields.odd))
         if fields.rest > 0.0:
             upstream.set_rest(fields.rest)
             emit(UpstreamResting(upstream=record.id, rest_ms=round(fields.rest)))
+        self._update_rate_limit(upstream, fields.rate_limit, sent_at)
         if not fields.is_leaving:
             return
         self._pool.drop(record.id)
@@ -51,6 +67,15 @@
             if not record.is_draining and not upstream.is_removed:
                 self._report_leaving(record)
 
+    def _update_rate_limit(
+        self, upstream: UpstreamState, rate_limit: float | None, sent_at: Millis | None
+    ) -> None:
+        if rate_limit is not None:
+            if upstream.set_rate_limit(rate_limit):
+                emit(UpstreamLimited(upstream=upstream.record.id, rate=rate_limit))
+        elif sent_at is not None and upstream.end_rate_limit(sent_at):
+            emit(UpstreamUnlimited(upstream=upstream.record.id))
+
     def handle_peer_notice(self, upstream_id: str, born: float, vm: str) -> None:
         """Apply the report of another VM that a run of an upstream leaves."""
         if self._upstream_table.note_leaving(upstream_id, born):
--- a/lagoonlatch/entry/process.py
+++ b/lagoonlatch/entry/process.py
@@ -332,6 +332,11 @@
             "Want nothing for now",
             self._upstream_table.resting_count,
         )
+        add(
+            "upstreams_limited",
+            "Have named a rate limit",
+            self._upstream_table.limited_count,
+        )
         add("vms", "VMs that callers may be sent to", lambda: len(self._ready_vms()))
         add("waiting_requests", "Waiting for a slot", lambda: len(self._waiting_queue))
         add("caller_connections", "Open", lambda: len(self._connections))
--- a/lagoonlatch/platform/headers.py
+++ b/lagoonlatch/platform/headers.py
@@ -15,6 +15,7 @@
 
 _LEAVING = b"server-leaving"
 _REST = b"retry-after"
+_RATE_LIMIT = b"server-limit"
 _UNAVAILABLE = 503
 
 _SHOWN = 40
@@ -84,6 +85,8 @@
     rest : Millis
         For how long it wants nothing from this VM, at most `LONGEST_REST`; 0 if it
         doesn't say.
+    rate_limit : float or None
+        Requests a second that it takes from all VMs together; None without a limit.
     odd : str
         What could not be decoded of its wishes; empty if nothing.
     """
@@ -96,6 +99,7 @@
     cold_left: Millis
     is_leaving: bool = False
     rest: Millis = 0.0
+    rate_limit: float | None = None
     odd: str = ""
 
 
@@ -140,7 +144,8 @@
     """Decode an upstream's header; names are in lower case."""
     fields = list(headers)
     value_by_name = dict(fields)
-    rest, odd = _rest(fields) if status == _UNAVAILABLE else (0.0, "")
+    rest, odd_rest = _rest(fields) if status == _UNAVAILABLE else (0.0, "")
+    rate_limit, odd_limit = _rate_limit(fields)
     return AnswerFields(
         request_id=value_by_name.get(b"request-id", b""),
         not_run=b"not-run" in value_by_name,
@@ -153,7 +158,8 @@
             name == _LEAVING and value.strip() == b"1" for name, value in fields
         ),
         rest=rest,
-        odd=odd,
+        rate_limit=rate_limit,
+        odd="; ".join(filter(None, (odd_rest, odd_limit))),
     )
 
 
@@ -186,6 +192,23 @@
     return rest, odd
 
 
+def _rate_limit(fields: HeaderList) -> tuple[float | None, str]:
+    """Return the lowest valid rate limit, and what could not be decoded."""
+    rate_limit, odd = None, ""
+    for name, value in fields:
+        if name != _RATE_LIMIT:
+            continue
+        try:
+            rate = float(value)
+        except ValueError:
+            rate = math.nan
+        if not 0.0 <= rate < math.inf:
+            odd = f"{value[:_SHOWN]!r} is no number of requests a second"
+            continue
+        rate_limit = rate if rate_limit is None else min(rate, rate_limit)
+    return rate_limit, odd
+
+
 def _positive(value: bytes | None) -> Millis | None:
     try:
         number = float(value) if value is not None else 0.0
--- a/lagoonlatch/steering/upstreams.py
+++ b/lagoonlatch/steering/upstreams.py
@@ -41,6 +41,8 @@
         Whether it gets no requests until it answers a health check.
     is_removed : bool
         Whether it was removed from the table.
+    rate_limit : float or None
+        Requests a second that it takes from all VMs together; None without a limit.
     is_leaving : bool
         Whether it has announced directly, to this or another VM, that it is about to
         stop. This holds until the end of its run, even if its entry in the store
@@ -60,6 +62,8 @@
         self.is_suspect = False
         self.is_removed = False
         self.is_leaving = False
+        self.rate_limit: float | None = None
+        self._rate_limit_named_at: Millis = -math.inf
         self._rest_until: Millis = -math.inf
         self._clock = clock
         self._remembered_objects: OrderedDict[str, None] = OrderedDict()
@@ -138,6 +142,29 @@
         """Send nothing to the upstream for at least `duration`."""
         self._rest_until = max(self._rest_until, self._clock.now() + duration)
 
+    def set_rate_limit(self, rate_limit: float) -> bool:
+        """Record the limit that the upstream has named; return whether it is new."""
+        is_new = rate_limit != self.rate_limit
+        self.rate_limit = rate_limit
+        self._rate_limit_named_at = self._clock.now()
+        return is_new
+
+    def end_rate_limit(self, sent_at: Millis) -> bool:
+        """Return whether an answer without a limit ends the one that is known.
+
+        Answers of one upstream may arrive in another order than they were written in.
+        The request must therefore have been sent after the limit was last named.
+
+        Parameters
+        ----------
+        sent_at : Millis
+            When the answered request was sent.
+        """
+        if self.rate_limit is None or sent_at <= self._rate_limit_named_at:
+            return False
+        self.rate_limit = None
+        return True
+
     def set_cold(self, duration: Millis) -> None:
         """Treat the upstream as cold for at least `duration`."""
         self._cold_until = max(self._cold_until, self._clock.now() + duration)
@@ -255,6 +282,12 @@
         """Return how many upstreams rest for this VM."""
         return sum(state.rest_left() > 0.0 for state in self._states_by_id.values())
 
+    def limited_count(self) -> int:
+        """Return how many upstreams have named a limit."""
+        return sum(
+            state.rate_limit is not None for state in self._states_by_id.values()
+        )
+
     def evacuate(self, data_centres: frozenset[str]) -> None:
         """Send nothing to `data_centres`; treat those no longer evacuated as cold."""
         for state in self._states_by_id.values():
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -72,6 +72,23 @@
     assert read_answer_fields([(b"server-load", value)]).load is None
 
 
+@pytest.mark.parametrize(
+    ("values", "rate"),
+    [([b"3.7"], 3.7), ([b"0"], 0.0), ([b" 12 "], 12.0), ([b"5", b"2.5"], 2.5)],
+)
+def test_rate_limit_of_an_upstream_is_decoded(values, rate):
+    fields = read_answer_fields([(b"server-limit", value) for value in values])
+    assert fields.rate_limit == rate
+    assert not fields.odd
+
+
+@pytest.mark.parametrize("value", [b"", b"few", b"-1", b"nan", b"inf", b"3,7"])
+def test_invalid_rate_limit_is_ignored_and_reported(value):
+    fields = read_answer_fields([(b"server-limit", value)])
+    assert fields.rate_limit is None
+    assert "no number of requests a second" in fields.odd
+
+
 def test_the_time_to_come_back_is_in_seconds():
     assert retry_after(250.0) == (b"Retry-After", b"0.25")
     assert retry_after(0.4) == (b"Retry-After", b"0.001")
