--- a/lagoonlatch/standins/instance.py
+++ b/lagoonlatch/standins/instance.py
@@ -43,10 +43,13 @@
         Whether it says in all its answers that it leaves.
     rest : Millis or None
         Requests are turned away while it is set; it is what they are told to wait.
+    rate_limit : float or None
+        Requests a second that it says in all its answers that it takes.
     arrivals : list of tuple
         Instant and id of each request that was meant for it.
-    leaving_told, rest_told : list of tuple
-        Instant, id of the request, and for a rest how long, of each answer with one.
+    leaving_told, rest_told, limit_told : list of tuple
+        Instant, id of the request, and for a rest how long, or which limit, of each
+        answer with one.
     """
 
     def __init__(self, instance_id: str, work: Millis = 20.0, slots: int = 9) -> None:
@@ -59,9 +62,11 @@
         self.born = 1
         self.is_leaving = False
         self.rest: Millis | None = None
+        self.rate_limit: float | None = None
         self.arrivals: list[tuple[Millis, str]] = []
         self.leaving_told: list[tuple[Millis, str]] = []
         self.rest_told: list[tuple[Millis, str, Millis]] = []
+        self.limit_told: list[tuple[Millis, str, float]] = []
         self._work = work
         self._slots = slots
         self._running = 0
@@ -99,6 +104,8 @@
         headers = [("Instance-Id", self.id), ("Content-Type", "text/plain")]
         if self.is_leaving:
             headers.append(("Server-Leaving", "1"))
+        if self.rate_limit is not None:
+            headers.append(("Server-Limit", f"{self.rate_limit:g}"))
         if environ["PATH_INFO"] == HEALTH_PATH:
             start("503 Leaving" if self.is_leaving else "200 OK", headers)
             return [b"ok"]
@@ -110,6 +117,8 @@
         self.arrivals.append((_now(), request))
         if self.is_leaving:
             self.leaving_told.append((_now(), request))
+        if self.rate_limit is not None:
+            self.limit_told.append((_now(), request, self.rate_limit))
         if self.rest is not None:
             self.rest_told.append((_now(), request, self.rest))
             seconds = f"{self.rest / MILLIS_PER_SECOND:g}"
--- a/tests/entry/test_process.py
+++ b/tests/entry/test_process.py
@@ -24,6 +24,11 @@
 """Limit for the wake-ups of an idle VM by answers of the store and readiness checks,
 including the wake-ups that follow from them."""
 
+RATE_LIMIT = 8.0
+"""Requests a second that an upstream takes from all VMs together."""
+
+LIMIT_WINDOW_SECONDS = 4.0
+
 
 @pytest.fixture
 def fleet():
@@ -195,6 +200,36 @@
     assert statuses.count(200) <= 20 + 20 * elapsed + 1
 
 
+def test_upstream_gets_its_rate_limit_from_all_vms_together_and_no_more(fleet):
+    upstream = fleet.instances_by_id["i-0"]
+    upstream.rate_limit = RATE_LIMIT
+    ended = time.monotonic() + 3.0 + LIMIT_WINDOW_SECONDS * 2
+
+    def send_requests(vm, caller):
+        number = 0
+        while time.monotonic() < ended:
+            ask(vm, f"{vm.id}-{caller}-{number}")
+            number += 1
+
+    gevent.joinall(
+        [
+            gevent.spawn(send_requests, vm, caller)
+            for vm in fleet.vms_by_id.values()
+            for caller in range(4)
+        ],
+        raise_error=True,
+    )
+    first = upstream.limit_told[0][0] / 1_000.0
+    times = [at / 1_000.0 for at, _ in upstream.arrivals if at / 1_000.0 > first + 2.0]
+    counts = [
+        sum(start <= at < start + LIMIT_WINDOW_SECONDS for at in times)
+        for start in times
+    ]
+    allowed = 1.5 * RATE_LIMIT * LIMIT_WINDOW_SECONDS + 5
+    assert max(counts) <= allowed
+    assert len(times) >= 0.9 * RATE_LIMIT * (ended - first - 2.0)
+
+
 def test_vm_refused_by_the_store_gets_changes_from_other_vms(fleet):
     vm = fleet.vms_by_id["vm-0"]
     refused = _refuse(fleet, vm, lambda path: True)
