--- a/lagoonlatch/entry/attempts.py
+++ b/lagoonlatch/entry/attempts.py
@@ -27,6 +27,10 @@
 from lagoonlatch.steering.upstreams import UpstreamState, UpstreamTable
 from lagoonlatch.upstreams.quarantine import Quarantine, SuspectReport
 
+GRANT_LIFETIME: Millis = 500.0
+"""A request that is sent later than this after its slot was granted counts towards the
+limit of a later time, so it is not sent to an upstream that has a rate limit."""
+
 _FIRST_SERVER_ERROR = 500
 
 
@@ -107,6 +111,10 @@
             # The upstream became unusable while the connection was being opened.
             connection.close()
             return NotRun("not to be used any more", reached=False)
+        is_late = deadline - time_left + GRANT_LIFETIME < self._clock.now()
+        if is_late and upstream.rate_limit is not None:
+            self._pool.release(upstream.record, connection)
+            return NotRun("connected too long after the grant", reached=False)
         timer = gevent.Timeout(
             max(deadline - self._clock.now(), 1.0) / MILLIS_PER_SECOND
         )
--- a/lagoonlatch/entry/events.py
+++ b/lagoonlatch/entry/events.py
@@ -48,7 +48,10 @@
 
 @log_event()
 class RequestEnded(LogEvent):
-    """A request got its final answer; `why` is empty if nothing went wrong."""
+    """A request got its final answer; `why` is empty if nothing went wrong.
+
+    `limited_by` is an upstream whose rate limit sent the request elsewhere.
+    """
 
     request: str
     status: int
@@ -57,6 +60,7 @@
     service: str
     organisation: str
     upstream: str
+    limited_by: str
     attempts: int
     waited_ms: int
     total_ms: int
@@ -161,6 +165,7 @@
 
     upstream: str
     rate: float
+    told_by: str
 
 
 @log_event()
@@ -168,6 +173,7 @@
     """An upstream has answered a newer request without its limit."""
 
     upstream: str
+    told_by: str
 
 
 @log_event(logging.WARNING)
--- a/lagoonlatch/entry/handling.py
+++ b/lagoonlatch/entry/handling.py
@@ -33,7 +33,11 @@
     own_request_fields,
     retry_after,
 )
-from lagoonlatch.steering.admission import Admission, retry_delay_after_rest
+from lagoonlatch.steering.admission import (
+    Admission,
+    retry_delay_after_limit,
+    retry_delay_after_rest,
+)
 from lagoonlatch.steering.allowances import Allowances
 from lagoonlatch.steering.model import Organisation, Route
 from lagoonlatch.steering.placement import Candidates, Placement, PlacementRequest
@@ -77,6 +81,8 @@
         Time spent waiting for slots.
     fingerprint : str
         Identifies the request; the same if the caller sends the request again.
+    limited_by : str
+        Id of the first upstream whose rate limit kept the request away.
     """
 
     request: CallerRequest
@@ -92,6 +98,7 @@
     last_upstream: str = ""
     waited: Millis = 0.0
     fingerprint: str = ""
+    limited_by: str = ""
 
     def object_name(self) -> str:
         """Return the name of the request's object; empty if it has no affinity."""
@@ -290,6 +297,11 @@
             return self._give_up(
                 context, "upstreams rest", retry_delay_after_rest(rest_times)
             )
+        limit_waits = self._placement.limit_waits(self._placement_request(context))
+        if limit_waits:
+            return self._give_up(
+                context, "upstreams limited", retry_delay_after_limit(limit_waits)
+            )
         retry_delay = self._admission.retry_delay(context.route)
         return self._give_up(context, "no room", retry_delay)
 
@@ -358,17 +370,16 @@
         started = self._clock.now()
         while True:
             waited = self._clock.now() - started
-            first = candidates.upstreams[0]
+            first = candidates.first_to_wait_for()
             upstream = self._placement.pick(candidates, waited)
-            # Claim the first candidate once even if its slots seem taken, so that its
-            # home VM puts the request into its queue.
+            # Claim one candidate even if its slots seem taken, so that its home VM puts
+            # the request into its queue.
             if upstream is None and not has_claimed and self._placement.is_warm(first):
                 upstream = first
             has_claimed = True
+            self._note_limit(context, candidates, upstream)
             if upstream is None:
-                expected = self._admission.expected_wait(
-                    context.route, first.reported_ahead(), first.record.slots
-                )
+                expected = self._expected_wait(context.route, candidates)
                 if expected > max_wait - waited or waited >= max_wait:
                     return None
                 upstream = self._await_offer(
@@ -382,6 +393,41 @@
             ):
                 return upstream
 
+    def _expected_wait(self, route: Route, candidates: Candidates) -> Millis:
+        """Return how long a request of `route` probably waits for a slot.
+
+        The first candidate without a rate limit decides; if all have one, the one
+        whose limit allows the request first.
+        """
+
+        def expected_wait(upstream: UpstreamState) -> Millis:
+            slot_wait = self._admission.expected_wait(
+                route, upstream.reported_ahead(), upstream.record.slots
+            )
+            return max(slot_wait, upstream.expected_limit_wait())
+
+        first = candidates.first_to_wait_for()
+        if first.rate_limit is None:
+            return expected_wait(first)
+        return min(map(expected_wait, candidates.upstreams))
+
+    def _note_limit(
+        self,
+        context: _RequestContext,
+        candidates: Candidates,
+        chosen: UpstreamState | None,
+    ) -> None:
+        """Record which limit keeps a request away from an upstream before `chosen`."""
+        if context.limited_by:
+            return
+        for upstream in candidates.upstreams:
+            if upstream is chosen:
+                return
+            if upstream.is_limit_spent():
+                context.limited_by = upstream.record.id
+                self._metrics.limited(context.service)
+                return
+
     def _await_offer(
         self,
         ticket: int,
@@ -474,6 +520,7 @@
             service=context.service,
             organisation=organisation.id if organisation is not None else "",
             upstream=context.last_upstream,
+            limited_by=context.limited_by,
             attempts=context.attempts,
             waited=context.waited,
         )
@@ -488,6 +535,7 @@
         service: str = "",
         organisation: str = "",
         upstream: str = "",
+        limited_by: str = "",
         attempts: int = 0,
         waited: Millis = 0.0,
     ) -> None:
@@ -503,6 +551,7 @@
                 service=service,
                 organisation=organisation,
                 upstream=upstream,
+                limited_by=limited_by,
                 attempts=attempts,
                 waited_ms=round(waited),
                 total_ms=round(total),
--- a/lagoonlatch/entry/metrics.py
+++ b/lagoonlatch/entry/metrics.py
@@ -29,6 +29,10 @@
         self._attempts = self._counter(
             "attempts_total", "Attempts at upstreams by service and outcome"
         )
+        self._limited = self._counter(
+            "limited_requests_total",
+            "Requests kept away from an upstream by its rate limit, by service",
+        )
         self._latencies = self._latency(
             "request_milliseconds", "From a request's header to its answer, by route"
         )
@@ -51,6 +55,10 @@
         """Count an attempt at an upstream."""
         self._attempts.inc({"service": service, "outcome": outcome})
 
+    def limited(self, service: str) -> None:
+        """Count a request that the rate limit of an upstream has sent elsewhere."""
+        self._limited.inc({"service": service})
+
     def waited(self, service: str, duration: Millis) -> None:
         """Record how long a request waited for a slot."""
         self._waiting.observe({"service": service}, duration)
--- a/lagoonlatch/entry/notices.py
+++ b/lagoonlatch/entry/notices.py
@@ -7,15 +7,15 @@
 from lagoonlatch.clock import Millis
 from lagoonlatch.entry.events import (
     UpstreamLeaving,
-    UpstreamLimited,
     UpstreamResting,
-    UpstreamUnlimited,
     UpstreamWishOdd,
 )
 from lagoonlatch.entry.journal import emit
 from lagoonlatch.entry.messages import UpstreamAnswer
 from lagoonlatch.entry.pool import ConnectionPool
+from lagoonlatch.entry.slots import emit_limit_change
 from lagoonlatch.steering.model import UpstreamRecord
+from lagoonlatch.steering.rate_limits import NamedLimit
 from lagoonlatch.steering.upstreams import UpstreamState, UpstreamTable
 
 
@@ -26,6 +26,8 @@
     ----------
     report_leaving : callable
         Reports a leaving upstream to other VMs, unless its store entry says so already.
+    report_limit : callable
+        Reports a limit to the home VM of an upstream, and whether the limit has ended.
     """
 
     def __init__(
@@ -33,24 +35,28 @@
         upstream_table: UpstreamTable,
         pool: ConnectionPool,
         report_leaving: Callable[[UpstreamRecord], None],
+        report_limit: Callable[[UpstreamState, NamedLimit, bool], None],
     ) -> None:
         self._upstream_table = upstream_table
         self._pool = pool
         self._report_leaving = report_leaving
+        self._report_limit = report_limit
 
     def handle_answer(
         self,
         upstream: UpstreamState,
         answer: UpstreamAnswer,
-        sent_at: Millis | None = None,
+        sent_at: Millis,
+        is_check: bool = False,
     ) -> None:
         """Apply the notices in an answer of the run that `upstream` describes.
 
         Parameters
         ----------
-        sent_at : Millis, optional
-            A time at or before which the request was sent. None for health checks,
-            whose answers don't end a limit.
+        sent_at : Millis
+            A time at or before which the request was sent.
+        is_check : bool
+            Whether it is the answer to a health check, which doesn't end a limit.
         """
         record, fields = upstream.record, answer.fields
         if fields.odd:
@@ -58,7 +64,10 @@
         if fields.rest > 0.0:
             upstream.set_rest(fields.rest)
             emit(UpstreamResting(upstream=record.id, rest_ms=round(fields.rest)))
-        self._update_rate_limit(upstream, fields.rate_limit, sent_at)
+        # A field that can't be read doesn't show that the upstream has no limit.
+        is_known = fields.rate_limit is not None or not (fields.odd or is_check)
+        if is_known:
+            self._update_limit(upstream, fields.rate_limit, sent_at)
         if not fields.is_leaving:
             return
         self._pool.drop(record.id)
@@ -67,14 +76,23 @@
             if not record.is_draining and not upstream.is_removed:
                 self._report_leaving(record)
 
-    def _update_rate_limit(
-        self, upstream: UpstreamState, rate_limit: float | None, sent_at: Millis | None
+    def _update_limit(
+        self, upstream: UpstreamState, rate: float | None, sent_at: Millis
     ) -> None:
-        if rate_limit is not None:
-            if upstream.set_rate_limit(rate_limit):
-                emit(UpstreamLimited(upstream=upstream.record.id, rate=rate_limit))
-        elif sent_at is not None and upstream.end_rate_limit(sent_at):
-            emit(UpstreamUnlimited(upstream=upstream.record.id))
+        limit = NamedLimit(
+            rate=rate or 0.0,
+            born=upstream.record.born,
+            epoch=upstream.epoch_before(sent_at),
+        )
+        if rate is None:
+            has_changed = upstream.end_limit(sent_at)
+            if has_changed:
+                self._report_limit(upstream, limit, True)
+        else:
+            has_changed = upstream.name_limit(rate, sent_at)
+            self._report_limit(upstream, limit, False)
+        if has_changed:
+            emit_limit_change(upstream, "itself")
 
     def handle_peer_notice(self, upstream_id: str, born: float, vm: str) -> None:
         """Apply the report of another VM that a run of an upstream leaves."""
--- a/lagoonlatch/entry/peer.thrift
+++ b/lagoonlatch/entry/peer.thrift
@@ -98,6 +98,16 @@
   4: i32 left,
 }
 
+// A rate limit that a run of an upstream has named.
+struct NamedLimit {
+  // Requests a second from all VMs together.
+  1: double rate,
+  // Identifies the run of the upstream.
+  2: double born,
+  // The home VM's number of the latest naming that it has heard of; 0 if none is known.
+  3: i64 epoch,
+}
+
 // Asks the home VM of an upstream for one of its slots.
 struct Claim {
   1: string vm,
@@ -111,6 +121,8 @@
   7: i32 route_priority,
   // Milliseconds for which the request has waited.
   8: i32 waited,
+  // The rate limit of the upstream, if the VM knows one.
+  9: optional NamedLimit limit,
 }
 
 // Answers a Claim.
@@ -121,6 +133,10 @@
   3: i32 others,
   // Number of requests that wait for the upstream and are served before this one.
   4: i32 ahead,
+  // The rate limit of the upstream; not set if it has none.
+  5: optional NamedLimit limit,
+  // Milliseconds until the limit allows the next request.
+  6: optional i32 limit_wait,
 }
 
 // Reports the numbers of requests of a VM at upstreams to their home VM.
@@ -151,6 +167,15 @@
   3: string vm,
 }
 
+// Reports to the home VM of an upstream that an answer has named a rate limit or, if
+// `is_ended` is set, that a newer answer names none. `limit.epoch` was known when the
+// answered request was sent.
+struct LimitReport {
+  1: string upstream,
+  2: NamedLimit limit,
+  3: bool is_ended,
+}
+
 // Reports a request that has ended upstreams which ran it.
 struct Suspect {
   1: string fingerprint,
@@ -177,6 +202,7 @@
   13: optional Large large,
   14: optional Spread spread,
   15: optional Left left,
+  16: optional LimitReport limit_report,
 }
 
 struct Item {
--- a/lagoonlatch/entry/peers.py
+++ b/lagoonlatch/entry/peers.py
@@ -29,6 +29,7 @@
     Decline,
     Large,
     Left,
+    LimitReport,
     Loan,
     Patch,
     Room,
@@ -353,6 +354,10 @@
     def _handle_room(self, room: Room, _origin: Origin) -> None:
         self._slots.handle_offer(room)
 
+    @_handles("limit_report")
+    def _handle_limit_report(self, report: LimitReport, _origin: Origin) -> None:
+        self._slots.handle_limit_report(report)
+
     @_handles("left")
     def _handle_left(self, left: Left, _origin: Origin) -> None:
         self._on_upstream_leaving(left.upstream, float(left.born), left.vm)
--- a/lagoonlatch/entry/probes.py
+++ b/lagoonlatch/entry/probes.py
@@ -28,17 +28,25 @@
 
 
 class Prober:
-    """Probes suspect upstreams, each in its own greenlet."""
+    """Probes suspect upstreams, each in its own greenlet.
+
+    Parameters
+    ----------
+    claim_check : callable
+        Returns whether a check of an upstream with a rate limit may be sent now.
+    """
 
     def __init__(
         self,
         facts: Facts,
         memory_limit: AnswerMemoryLimit,
         notices: UpstreamNotices,
+        claim_check: Callable[[UpstreamState], bool],
         clock: Clock,
     ) -> None:
         self._memory_limit = memory_limit
         self._notices = notices
+        self._claim_check = claim_check
         self._facts = facts
         self._clock = clock
         self._failure_callbacks_by_id: defaultdict[str, list[Callable[[], None]]] = (
@@ -76,6 +84,9 @@
             if rest_left > 0.0:
                 gevent.sleep(rest_left / MILLIS_PER_SECOND)
                 continue
+            if upstream.rate_limit is not None and not self._claim_check(upstream):
+                gevent.sleep(interval / MILLIS_PER_SECOND)
+                continue
             if self._probe(upstream, since):
                 self._failure_callbacks_by_id.pop(upstream.record.id, None)
                 return
@@ -91,13 +102,14 @@
         service = rules and rules.services_by_id.get(upstream.record.service)
         if not service:
             return False
+        sent_at = self._clock.now()
         outcome = self._check(upstream.record.address, service.health_path)
         if not isinstance(outcome, Answered):
             return False
         fields = outcome.answer.fields
         if fields.upstream and fields.upstream != upstream.record.id:
             return False
-        self._notices.handle_answer(upstream, outcome.answer)
+        self._notices.handle_answer(upstream, outcome.answer, sent_at, is_check=True)
         if outcome.answer.status != _OK:
             return False
         upstream.clear_suspicion(fields.cold_left)
--- a/lagoonlatch/entry/process.py
+++ b/lagoonlatch/entry/process.py
@@ -70,6 +70,8 @@
 from lagoonlatch.steering.peers import PeerTable
 from lagoonlatch.steering.placement import Placement
 from lagoonlatch.steering.queueing import WaitingQueue
+from lagoonlatch.steering.rate_authority import RateAuthority
+from lagoonlatch.steering.rate_limits import UpstreamRateLimiter
 from lagoonlatch.steering.retries import RetryBudget
 from lagoonlatch.steering.slots import SlotAllocator
 from lagoonlatch.steering.upstreams import UpstreamTable
@@ -209,10 +211,20 @@
         self._slot_homes = SlotHomes(
             self._list_slot_homes, settings.region_by_data_centre, clock
         )
+        self._rate_authority = RateAuthority(
+            self._own_record,
+            lambda: self._facts.vms_by_id,
+            settings.region_by_data_centre,
+            self._facts.age,
+            self._stop_requested.is_set,
+            clock,
+        )
+        limiter = UpstreamRateLimiter(self._granted_fraction, clock)
         self._slots = SlotClient(
             self._own_record.id,
             self._upstream_table,
-            SlotAllocator(self._upstream_table.slots_of, clock),
+            SlotAllocator(self._upstream_table.slots_of, limiter, clock),
+            limiter,
             self._slot_homes,
             lambda vm, datagram: self._peers.send(vm, datagram),
             lambda: self._waiting_queue.offer_slots(),
@@ -249,13 +261,23 @@
         )
         self._pool = ConnectionPool(answer_memory_limit, clock)
         self._notices = UpstreamNotices(
-            self._upstream_table, self._pool, self._peers.report_leaving_upstream
+            self._upstream_table,
+            self._pool,
+            self._peers.report_leaving_upstream,
+            self._slots.report_limit,
+        )
+        prober = Prober(
+            self._facts,
+            answer_memory_limit,
+            self._notices,
+            self._slots.claim_check,
+            clock,
         )
         admission = Admission()
         attempts = AttemptRunner(
             self._upstream_table,
             self._pool,
-            Prober(self._facts, answer_memory_limit, self._notices, clock),
+            prober,
             admission,
             quarantine,
             self._peers.report_suspect,
@@ -299,6 +321,7 @@
         self._facts.add_rules_listener(self._apply_rules)
         self._facts.add_roster_listener(self._apply_roster)
         self._facts.add_vm_listener(self._neighbours.invalidate)
+        self._facts.add_vm_listener(self._rate_authority.note_vms_changed)
         self._facts.add_upstream_gone_listener(self._pool.drop)
 
     def _add_gauges(self) -> None:
@@ -393,6 +416,13 @@
             vms.append(self._own_record)
         return vms
 
+    def _granted_fraction(self, upstream_id: str) -> float:
+        """Return the fraction of an upstream's limit that this VM may grant."""
+        state = self._upstream_table.find(upstream_id)
+        if state is None:
+            return 0.0
+        return self._rate_authority.fraction(upstream_id, state.record.data_centre)
+
     def _list_slot_homes(self) -> list[VmRecord]:
         """Return the VMs that may count slots, which a leaving VM may not."""
         vms = self._neighbours.ready()
--- a/lagoonlatch/entry/slots.py
+++ b/lagoonlatch/entry/slots.py
@@ -3,18 +3,21 @@
 from __future__ import annotations
 
 import itertools
+import math
 import random
 from collections import defaultdict
 from collections.abc import Callable
 
+import gevent
 from gevent.event import AsyncResult
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
-from lagoonlatch.entry.events import HomeSilent
+from lagoonlatch.entry.events import HomeSilent, UpstreamLimited, UpstreamUnlimited
 from lagoonlatch.entry.generated import ttypes as wire
 from lagoonlatch.entry.journal import emit
 from lagoonlatch.steering.homes import SlotHomes
 from lagoonlatch.steering.model import VmRecord
+from lagoonlatch.steering.rate_limits import NamedLimit, UpstreamRateLimiter
 from lagoonlatch.steering.slots import (
     COUNT_REPORT_INTERVAL,
     Claim,
@@ -31,6 +34,16 @@
 
 CLAIM_TRIES = 2
 
+UNANSWERED_CLAIM_WAIT: Millis = 100.0
+"""Time until an upstream with a rate limit is claimed again after its home VM did not
+answer; another VM is its home then."""
+
+MIN_OFFER_DELAY: Millis = 5.0
+"""Shortest delay of offers for which the home VM waits for a rate limit."""
+
+CHECK_PRIORITY: Priority = (2**31 - 1, 2**31 - 1)
+"""Health checks come after all requests of callers."""
+
 
 class SlotClient:
     """Claims slots for this VM's requests, and allocates slots as a home VM.
@@ -39,6 +52,8 @@
     ----------
     me : str
         Id of this VM.
+    limiter : UpstreamRateLimiter
+        The one that `allocator` uses.
     send : callable
         Sends a datagram to a VM.
     on_slot_free : callable
@@ -50,6 +65,7 @@
         me: str,
         upstream_table: UpstreamTable,
         allocator: SlotAllocator,
+        limiter: UpstreamRateLimiter,
         homes: SlotHomes,
         send: Callable[[VmRecord, wire.Datagram], None],
         on_slot_free: Callable[[], None],
@@ -58,6 +74,7 @@
         self._me = me
         self._upstream_table = upstream_table
         self._allocator = allocator
+        self._limiter = limiter
         self._homes = homes
         self._send = send
         self._on_slot_free = on_slot_free
@@ -67,6 +84,8 @@
         self._refused_upstreams_by_ticket: defaultdict[int, set[str]] = defaultdict(set)
         self._notified_home_by_upstream: dict[str, str] = {}
         self._last_report: Millis = clock.now()
+        self._check_tickets = itertools.count(-1, -1)
+        self._upstreams_with_timed_offer: set[str] = set()
 
     def claim(
         self,
@@ -78,7 +97,8 @@
         """Claim a slot for a request; return False if none is free.
 
         A claimed slot must be released. If the home VM doesn't answer, the claim counts
-        as granted, so that the load known to this VM decides.
+        as granted, so that the load known to this VM decides. If the upstream has a
+        rate limit, such a claim counts as refused: other VMs may use the whole limit.
 
         Parameters
         ----------
@@ -86,18 +106,25 @@
             Identifies the request among those of this VM.
         """
         upstream.in_flight += 1
+        upstream.unanswered_claims += 1
         verdict: ClaimAnswer | None = None
         is_answered = False
         try:
             verdict = self._request_verdict(upstream, priority, ticket, waited)
             is_answered = True
         finally:
+            upstream.unanswered_claims -= 1
             if not is_answered:
                 # The caller left during the claim.
                 self.release(upstream)
         if verdict is None:
-            return True
+            if upstream.rate_limit is None:
+                return True
+            self.release(upstream)
+            upstream.set_limit_wait(UNANSWERED_CLAIM_WAIT)
+            return False
         upstream.set_load_of_others(verdict.others, verdict.ahead)
+        self._apply_limit(upstream, verdict)
         refused_upstreams = self._refused_upstreams_by_ticket[ticket]
         if verdict.granted:
             refused_upstreams.discard(upstream.record.id)
@@ -106,6 +133,38 @@
             upstream.in_flight -= 1
         return verdict.granted
 
+    def claim_check(self, upstream: UpstreamState) -> bool:
+        """Claim a health check of an upstream with a rate limit, which it counts."""
+        ticket = next(self._check_tickets)
+        try:
+            is_granted = self.claim(upstream, CHECK_PRIORITY, ticket, 0.0)
+        finally:
+            self.stop_waiting(ticket)
+        if is_granted:
+            self.release(upstream)
+        return is_granted
+
+    def report_limit(
+        self, upstream: UpstreamState, limit: NamedLimit, is_ended: bool
+    ) -> None:
+        """Report a limit that an answer has named or ended to the first home VMs.
+
+        Parameters
+        ----------
+        limit : NamedLimit
+            Its epoch is the one that was known when the answered request was sent.
+        """
+        record = upstream.record
+        report = wire.LimitReport(record.id, _encode_limit(limit), is_ended)
+        # The second VM grants requests while the home VM doesn't answer.
+        for home in self._homes.first_homes(
+            record.id, record.data_centre, anywhere=True
+        ):
+            if home.id == self._me:
+                self.handle_limit_report(report)
+            else:
+                self._send(home, wire.Datagram(limit_report=report))
+
     def stop_waiting(self, ticket: int) -> None:
         """Report to the VMs that refused a slot that the request no longer waits."""
         for upstream_id in self._refused_upstreams_by_ticket.pop(ticket, ()):
@@ -115,7 +174,7 @@
         """Free the slot of a request that has ended."""
         upstream.in_flight -= 1
         upstream_id = upstream.record.id
-        home = self._homes.home_of(upstream_id, upstream.record.data_centre)
+        home = self._home_of(upstream)
         if home is None:
             return
         held = self._count_held(upstream_id)
@@ -138,14 +197,14 @@
         if is_report_due:
             self._last_report = now
         counts = counts_to_send(
-            self._upstream_table.in_flight_by_id(), self._notified_home_by_upstream
+            self._upstream_table.held_slots_by_id(), self._notified_home_by_upstream
         )
         notified_home_by_upstream: dict[str, str] = {}
         counts_by_home: defaultdict[str, dict[str, int]] = defaultdict(dict)
         home_by_id: dict[str, VmRecord] = {}
         for upstream_id, held in counts.items():
             state = self._upstream_table.find(upstream_id)
-            home = state and self._homes.home_of(upstream_id, state.record.data_centre)
+            home = state and self._home_of(state)
             if not home:
                 continue
             if (
@@ -167,7 +226,7 @@
     def answer_claim(self, claim: wire.Claim) -> wire.Verdict:
         """Answer a claim of another VM as the home of the upstream."""
         self._homes.mark_reachable(claim.vm)
-        verdict = self._allocator.claim(
+        verdict = self._claim_locally(
             Claim(
                 vm=claim.vm,
                 upstream=claim.upstream,
@@ -175,10 +234,16 @@
                 ticket=claim.ticket,
                 priority=(claim.organisation_priority, claim.route_priority),
                 waited=float(claim.waited),
-            )
+            ),
+            _decode_limit(claim.limit),
         )
         return wire.Verdict(
-            claim.number, verdict.granted, verdict.others, verdict.ahead
+            claim.number,
+            verdict.granted,
+            verdict.others,
+            verdict.ahead,
+            _encode_limit(verdict.limit),
+            round(verdict.limit_wait),
         )
 
     def handle_verdict(self, answer: wire.Verdict) -> None:
@@ -186,7 +251,13 @@
         pending_verdict = self._pending_verdict_by_claim_number.pop(answer.number, None)
         if pending_verdict is not None:
             pending_verdict.set(
-                ClaimAnswer(answer.granted, answer.others, answer.ahead)
+                ClaimAnswer(
+                    answer.granted,
+                    answer.others,
+                    answer.ahead,
+                    _decode_limit(answer.limit),
+                    float(answer.limit_wait or 0),
+                )
             )
 
     def handle_counts(self, counts: wire.Counts) -> None:
@@ -203,6 +274,7 @@
         # The home reserves a slot for this VM, even if its counts show none free yet.
         max_others = state.record.slots - 1 - state.in_flight
         state.set_load_of_others(min(offer.others, max_others))
+        state.set_limit_wait(0.0)
         self._on_slot_free()
 
     def handle_decline(self, decline: wire.Decline) -> None:
@@ -210,6 +282,54 @@
         self._allocator.decline(decline.vm, decline.upstream, decline.ticket)
         self._offer_slots(decline.upstream)
 
+    def handle_limit_report(self, report: wire.LimitReport) -> None:
+        """Apply the report of a VM to which an upstream has named or ended a limit."""
+        limit = _decode_limit(report.limit)
+        if report.is_ended:
+            self._limiter.report_ended(report.upstream, limit.born, limit.epoch)
+            self._offer_slots(report.upstream)
+        else:
+            self._limiter.report_named(report.upstream, limit)
+
+    def _home_of(self, upstream: UpstreamState) -> VmRecord | None:
+        """Return the home VM; an upstream with a rate limit has one in any case."""
+        return self._homes.home_of(
+            upstream.record.id,
+            upstream.record.data_centre,
+            anywhere=upstream.rate_limit is not None,
+        )
+
+    def _apply_limit(self, upstream: UpstreamState, verdict: ClaimAnswer) -> None:
+        if upstream.set_limit_from_home(verdict.limit):
+            emit_limit_change(upstream, "home VM")
+        if verdict.limit is not None:
+            upstream.set_limit_wait(verdict.limit_wait)
+
+    def _claim_locally(self, claim: Claim, known: NamedLimit | None) -> ClaimAnswer:
+        """Decide on a claim of a VM that knows the limit `known`."""
+        if known is not None:
+            self._limiter.report_known(claim.upstream, known)
+        answer = self._allocator.claim(claim)
+        if answer.limit_wait > 0.0:
+            self._offer_when_limit_allows(claim.upstream)
+        return answer
+
+    def _offer_when_limit_allows(self, upstream: str) -> None:
+        """Offer slots as soon as the limit allows it, while refused claims remain."""
+        if upstream in self._upstreams_with_timed_offer:
+            return
+        wait = self._allocator.time_to_next_offer(upstream)
+        if wait is None:
+            return
+        self._upstreams_with_timed_offer.add(upstream)
+        delay = max(wait, MIN_OFFER_DELAY) / MILLIS_PER_SECOND
+        gevent.spawn_later(delay, self._offer_after_wait, upstream)
+
+    def _offer_after_wait(self, upstream: str) -> None:
+        self._upstreams_with_timed_offer.discard(upstream)
+        self._offer_slots(upstream)
+        self._offer_when_limit_allows(upstream)
+
     def _request_verdict(
         self,
         upstream: UpstreamState,
@@ -217,44 +337,58 @@
         ticket: int,
         waited: Millis,
     ) -> ClaimAnswer | None:
-        upstream_id = upstream.record.id
-        home = self._homes.home_of(upstream_id, upstream.record.data_centre)
-        if home is None:
-            return None
-        if home.id == self._me:
-            return self._allocator.claim(
-                Claim(
-                    vm=self._me,
-                    upstream=upstream_id,
-                    held=upstream.in_flight,
-                    ticket=ticket,
-                    priority=priority,
-                    waited=waited,
-                )
-            )
+        """Claim at the home VM or, if it is silent, once at the VM after it.
+
+        The second VM may know a rate limit of which this VM has not heard.
+        """
+        claim = Claim(
+            vm=self._me,
+            upstream=upstream.record.id,
+            held=upstream.in_flight,
+            ticket=ticket,
+            priority=priority,
+            waited=waited,
+        )
+        for tries in (CLAIM_TRIES, 1):
+            home = self._home_of(upstream)
+            if home is None:
+                return None
+            limit = upstream.known_limit()
+            if home.id == self._me:
+                return self._claim_locally(claim, limit)
+            answer = self._claim_remotely(home, claim, limit, tries)
+            if answer is not None:
+                return answer
+            self._homes.mark_unreachable(home.id)
+            emit(HomeSilent(subject=home.id, upstream=claim.upstream))
+        return None
+
+    def _claim_remotely(
+        self, home: VmRecord, claim: Claim, limit: NamedLimit | None, tries: int
+    ) -> ClaimAnswer | None:
+        """Claim a slot at another VM; return None if it doesn't answer."""
         number = next(self._claim_numbers)
         pending_verdict = self._pending_verdict_by_claim_number[number] = AsyncResult()
-        claim = wire.Claim(
-            vm=self._me,
+        message = wire.Claim(
+            vm=claim.vm,
             number=number,
-            ticket=ticket,
-            upstream=upstream_id,
-            held=upstream.in_flight,
-            organisation_priority=priority[0],
-            route_priority=priority[1],
-            waited=round(waited),
+            ticket=claim.ticket,
+            upstream=claim.upstream,
+            held=claim.held,
+            organisation_priority=claim.priority[0],
+            route_priority=claim.priority[1],
+            waited=round(claim.waited),
+            limit=_encode_limit(limit),
         )
         try:
-            for _ in range(CLAIM_TRIES):
-                self._send(home, wire.Datagram(claim=claim))
+            for _ in range(tries):
+                self._send(home, wire.Datagram(claim=message))
                 pending_verdict.wait(timeout=CLAIM_TIMEOUT / MILLIS_PER_SECOND)
                 if pending_verdict.ready():
-                    self._notified_home_by_upstream[upstream_id] = home.id
+                    self._notified_home_by_upstream[claim.upstream] = home.id
                     return pending_verdict.value
         finally:
             self._pending_verdict_by_claim_number.pop(number, None)
-        self._homes.mark_unreachable(home.id)
-        emit(HomeSilent(subject=home.id, upstream=upstream_id))
         return None
 
     def _set_count(self, vm: str, upstream: str, held: int) -> None:
@@ -274,7 +408,7 @@
 
     def _send_decline(self, upstream: str, ticket: int) -> None:
         state = self._upstream_table.find(upstream)
-        home = state and self._homes.home_of(upstream, state.record.data_centre)
+        home = state and self._home_of(state)
         if not home:
             return
         decline = wire.Decline(self._me, upstream, ticket)
@@ -294,4 +428,27 @@
 
     def _count_held(self, upstream: str) -> int:
         state = self._upstream_table.find(upstream)
-        return state.in_flight if state is not None else 0
+        return state.held_slots() if state is not None else 0
+
+
+def emit_limit_change(upstream: UpstreamState, told_by: str) -> None:
+    """Log that the rate limit of an upstream has changed."""
+    rate = upstream.rate_limit
+    if rate is None:
+        emit(UpstreamUnlimited(upstream=upstream.record.id, told_by=told_by))
+    else:
+        emit(UpstreamLimited(upstream=upstream.record.id, rate=rate, told_by=told_by))
+
+
+def _encode_limit(limit: NamedLimit | None) -> wire.NamedLimit | None:
+    if limit is None:
+        return None
+    return wire.NamedLimit(limit.rate, limit.born, limit.epoch)
+
+
+def _decode_limit(limit: wire.NamedLimit | None) -> NamedLimit | None:
+    if limit is None:
+        return None
+    if not 0.0 <= limit.rate < math.inf:
+        raise ValueError(f"{limit.rate!r} is no number of requests a second")
+    return NamedLimit(rate=limit.rate, born=limit.born, epoch=limit.epoch)
--- a/lagoonlatch/platform/headers.py
+++ b/lagoonlatch/platform/headers.py
@@ -164,12 +164,12 @@
 
 
 def for_callers(status: int, headers: HeaderList) -> HeaderList:
-    """Return an upstream's header without what it says to this VM alone.
+    """Return an upstream's header without what it says to VMs alone.
 
     A caller that took the upstream's wish for its own would stay away though others
     serve the request.
     """
-    hidden = {_LEAVING} | ({_REST} if status == _UNAVAILABLE else set())
+    hidden = {_LEAVING, _RATE_LIMIT} | ({_REST} if status == _UNAVAILABLE else set())
     return [(name, value) for name, value in headers if name.lower() not in hidden]
 
 
--- a/lagoonlatch/steering/admission.py
+++ b/lagoonlatch/steering/admission.py
@@ -84,3 +84,19 @@
         Remaining rest of each upstream; not empty.
     """
     return random.choice(rests) + random.uniform(0.0, RETRY_JITTER)
+
+
+def retry_delay_after_limit(waits: Sequence[Millis]) -> Millis:
+    """Return when a caller should retry if all upstreams have a rate limit.
+
+    The callers of a service may be refused in large numbers. Each is told to retry when
+    the limit of one upstream allows another request, at a random time of the period
+    over which the requests that wait there are served.
+
+    Parameters
+    ----------
+    waits : sequence of Millis
+        Time until the limit of each upstream allows the next request; not empty.
+    """
+    wait = min(max(random.choice(waits), MIN_RETRY_DELAY), MAX_RETRY_DELAY)
+    return wait + random.uniform(0.0, max(wait, RETRY_JITTER))
--- a/lagoonlatch/steering/homes.py
+++ b/lagoonlatch/steering/homes.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+import heapq
 from collections.abc import Callable, Iterable, Mapping
 
 from lagoonlatch.clock import Clock, Millis
@@ -20,6 +20,29 @@
 message."""
 
 
+def candidates_for_home(
+    vms: Iterable[VmRecord],
+    data_centre: str,
+    region_by_data_centre: Mapping[str, str],
+    anywhere: bool = False,
+) -> list[VmRecord]:
+    """Return the VMs of a data centre or, if it has none, those of its region.
+
+    Parameters
+    ----------
+    anywhere : bool
+        Whether to return all VMs if the region has none either.
+    """
+    vms = list(vms)
+    region_of = region_by_data_centre.get
+    region = region_of(data_centre)
+    return (
+        [vm for vm in vms if vm.data_centre == data_centre]
+        or [vm for vm in vms if region_of(vm.data_centre) == region]
+        or (vms if anywhere else [])
+    )
+
+
 class SlotHomes:
     """The home VMs of all upstreams, as one VM knows them.
 
@@ -43,8 +66,7 @@
         self._excluded_until_by_vm: dict[str, Millis] = {}
         self._vms: tuple[VmRecord, ...] = ()
         self._vm_by_id: dict[str, VmRecord] = {}
-        self._vms_by_data_centre: dict[str, list[VmRecord]] = {}
-        self._home_by_upstream: dict[tuple[str, str], VmRecord | None] = {}
+        self._homes_by_upstream: dict[tuple[str, str, bool], tuple[VmRecord, ...]] = {}
 
     def refresh(self) -> None:
         """Update the VMs that may be homes."""
@@ -59,18 +81,30 @@
             return
         self._vms = vms
         self._vm_by_id = {vm.id: vm for vm in vms}
-        self._home_by_upstream.clear()
-        by_data_centre: defaultdict[str, list[VmRecord]] = defaultdict(list)
-        for vm in vms:
-            by_data_centre[vm.data_centre].append(vm)
-        self._vms_by_data_centre = dict(by_data_centre)
-
-    def home_of(self, upstream_id: str, data_centre: str) -> VmRecord | None:
-        """Return the home of an upstream; None if its region has no VM."""
-        key = (upstream_id, data_centre)
-        if key not in self._home_by_upstream:
-            self._home_by_upstream[key] = self._choose(upstream_id, data_centre)
-        return self._home_by_upstream[key]
+        self._homes_by_upstream.clear()
+
+    def home_of(
+        self, upstream_id: str, data_centre: str, anywhere: bool = False
+    ) -> VmRecord | None:
+        """Return the home of an upstream.
+
+        None if its region has no VM, unless the home may be `anywhere`.
+        """
+        return next(iter(self.first_homes(upstream_id, data_centre, anywhere)), None)
+
+    def first_homes(
+        self, upstream_id: str, data_centre: str, anywhere: bool = False
+    ) -> tuple[VmRecord, ...]:
+        """Return the home of an upstream and the VM that is its home after that one."""
+        key = (upstream_id, data_centre, anywhere)
+        if key not in self._homes_by_upstream:
+            candidates = candidates_for_home(
+                self._vms, data_centre, self._region_by_data_centre, anywhere
+            )
+            self._homes_by_upstream[key] = tuple(
+                heapq.nlargest(2, candidates, key=lambda vm: weight(upstream_id, vm.id))
+            )
+        return self._homes_by_upstream[key]
 
     def find(self, vm: str) -> VmRecord | None:
         """Return the record of a VM that may be a home."""
@@ -85,14 +119,3 @@
         """Include an excluded VM again."""
         if self._excluded_until_by_vm.pop(vm, None) is not None:
             self.refresh()
-
-    def _choose(self, upstream_id: str, data_centre: str) -> VmRecord | None:
-        vms = self._vms_by_data_centre.get(data_centre)
-        if not vms:
-            region = self._region_by_data_centre.get(data_centre)
-            vms = [
-                vm
-                for vm in self._vms
-                if self._region_by_data_centre.get(vm.data_centre) == region
-            ]
-        return max(vms, key=lambda vm: weight(upstream_id, vm.id), default=None)
--- a/lagoonlatch/steering/placement.py
+++ b/lagoonlatch/steering/placement.py
@@ -6,6 +6,9 @@
 free slot. A region with few upstreams keeps as many of its objects as they can handle.
 It sends the requests for its other objects to regions with spare slots. There they
 reach the same upstreams as the requests of that region's own callers for these objects.
+
+An upstream that has named a rate limit takes a part of the requests for its objects.
+The others go on to the next upstreams in hash order as soon as the limit is spent.
 """
 
 from __future__ import annotations
@@ -70,6 +73,13 @@
     object_name: str
     affinity_wait: Millis
 
+    def first_to_wait_for(self) -> UpstreamState:
+        """Return the first candidate without a rate limit, or the first of all."""
+        return next(
+            (upstream for upstream in self.upstreams if upstream.rate_limit is None),
+            self.upstreams[0],
+        )
+
 
 class Placement:
     """Chooses upstreams for the requests of one VM.
@@ -129,7 +139,9 @@
             region_upstreams.sort(
                 key=lambda upstream: upstream.failure_share > max_failure_share
             )
-            ranked += region_upstreams[:count] if name else region_upstreams
+            ranked += (
+                _first_unlimited(region_upstreams, count) if name else region_upstreams
+            )
         return Candidates(
             upstreams=tuple(ranked),
             object_name=name,
@@ -150,6 +162,9 @@
                 if self.has_room(upstream) and self._consume_cold_request(upstream):
                     return upstream
                 continue
+            if upstream.is_limit_spent():
+                # Requests don't wait for a limit while another upstream has room.
+                continue
             is_preferred = is_first or upstream.remembers(candidates.object_name)
             if self.has_room(upstream):
                 if is_preferred or not candidates.object_name:
@@ -172,6 +187,20 @@
             if self._is_allowed(upstream, request)
         ]
 
+    def limit_waits(self, request: PlacementRequest) -> list[Millis]:
+        """Return how long a request waits for the limit of each upstream it may use.
+
+        Empty if some upstream that may be used has no rate limit.
+        """
+        allowed = [
+            upstream
+            for upstream in self._upstream_table.usable(request.service)
+            if self._is_allowed(upstream, request)
+        ]
+        if any(upstream.rate_limit is None for upstream in allowed):
+            return []
+        return [upstream.expected_limit_wait() for upstream in allowed]
+
     @staticmethod
     def _is_allowed(upstream: UpstreamState, request: PlacementRequest) -> bool:
         is_in_region = not request.regions or upstream.region in request.regions
@@ -189,6 +218,7 @@
         """Return whether an upstream has a free slot, as far as this VM knows."""
         return (
             self._upstream_table.is_usable(upstream)
+            and not upstream.is_limit_spent()
             and upstream.load() < upstream.record.slots
         )
 
@@ -197,6 +227,21 @@
     return sum(values) / len(values) if values else 0.0
 
 
+def _first_unlimited(
+    upstreams: Sequence[UpstreamState], count: int
+) -> Sequence[UpstreamState]:
+    """Return the first upstreams up to the `count`-th that has no rate limit.
+
+    Upstreams with a limit take few of the requests for an object, so they come in
+    addition to those that serve it.
+    """
+    for index, upstream in enumerate(upstreams):
+        count -= upstream.rate_limit is None
+        if not count:
+            return upstreams[: index + 1]
+    return upstreams
+
+
 def _candidate_counts() -> Iterator[int]:
     yield from CANDIDATES_BY_REGION_RANK
     yield from repeat(1)
--- a/lagoonlatch/steering/slots.py
+++ b/lagoonlatch/steering/slots.py
@@ -5,6 +5,9 @@
 free, and offers a slot that becomes free to the most urgent waiting request. Counts are
 absolute and reported periodically, so after a lost message or a change of the home VM
 they are wrong only for a short time, and no slot stays blocked.
+
+If the upstream has named a rate limit, each grant and each offer also takes a token of
+that limit (see `rate_limits`).
 """
 
 from __future__ import annotations
@@ -14,6 +17,7 @@
 from typing import TypeAlias
 
 from lagoonlatch.clock import Clock, Millis
+from lagoonlatch.steering.rate_limits import NamedLimit, UpstreamRateLimiter
 
 Priority: TypeAlias = tuple[int, int]
 """Priority of the organisation, then of the route; the lowest is served first."""
@@ -69,17 +73,28 @@
         offered to other VMs.
     ahead : int
         Waiting requests of all VMs that are served before the one of the claim.
+    limit : NamedLimit or None
+        The rate limit of the upstream.
+    limit_wait : Millis
+        If the claim is refused because of the limit, how long until the limit allows
+        the next request.
     """
 
     granted: bool
     others: int
     ahead: int
+    limit: NamedLimit | None = None
+    limit_wait: Millis = 0.0
 
 
 OFFER_LIFETIME: Millis = 150.0
 """How long an offered slot is reserved; the claim that follows arrives after one round
 trip, also from the farthest region."""
 
+GRANT_MEMORY: Millis = 500.0
+"""How long a granted claim is remembered, so that a claim that is sent again takes no
+second token of a limit."""
+
 
 @dataclass(frozen=True)
 class _RefusedClaim:
@@ -111,8 +126,10 @@
         self.count_by_vm: dict[str, _Count] = {}
         self.refused_claim_by_request: dict[tuple[str, int], _RefusedClaim] = {}
         self.offers: list[_Offer] = []
+        self.grant_expiry_by_request: dict[tuple[str, int], Millis] = {}
 
-    def drop_expired(self, now: Millis) -> None:
+    def drop_expired(self, now: Millis) -> int:
+        """Drop what has expired, and return the number of expired offers."""
         for vm in [v for v, c in self.count_by_vm.items() if c.expires_at <= now]:
             del self.count_by_vm[vm]
         refused = self.refused_claim_by_request
@@ -120,7 +137,19 @@
             key for key, claim in refused.items() if claim.expires_at <= now
         ]:
             del refused[request_key]
-        self.offers = [offer for offer in self.offers if offer.expires_at > now]
+        grants = self.grant_expiry_by_request
+        for request_key in [key for key, expiry in grants.items() if expiry <= now]:
+            del grants[request_key]
+        return self._keep_offers(lambda offer: offer.expires_at > now)
+
+    def withdraw_offer(self, vm: str, ticket: int) -> int:
+        """Remove the offers to a request, and return their number."""
+        return self._keep_offers(lambda offer: (offer.vm, offer.ticket) != (vm, ticket))
+
+    def _keep_offers(self, is_kept: Callable[[_Offer], bool]) -> int:
+        count = len(self.offers)
+        self.offers = [offer for offer in self.offers if is_kept(offer)]
+        return count - len(self.offers)
 
     def remove_offer(self, vm: str, ticket: int) -> None:
         """Remove the offer to a request, or else one to another request of its VM."""
@@ -129,6 +158,9 @@
         if offers:
             self.offers.remove(offers[0])
 
+    def has_offer(self, vm: str) -> bool:
+        return any(offer.vm == vm for offer in self.offers)
+
     def count_offers(self, other_than: str) -> int:
         return sum(offer.vm != other_than for offer in self.offers)
 
@@ -136,7 +168,12 @@
         return sum(c.in_flight for name, c in self.count_by_vm.items() if name != vm)
 
     def is_empty(self) -> bool:
-        return not (self.count_by_vm or self.refused_claim_by_request or self.offers)
+        return not (
+            self.count_by_vm
+            or self.refused_claim_by_request
+            or self.offers
+            or self.grant_expiry_by_request
+        )
 
 
 class SlotAllocator:
@@ -146,10 +183,18 @@
     ----------
     slots_of : callable
         Returns the number of slots of an upstream; None if the upstream is unknown.
+    rate_limiter : UpstreamRateLimiter
+        Keeps the rate limits of the upstreams.
     """
 
-    def __init__(self, slots_of: Callable[[str], int | None], clock: Clock) -> None:
+    def __init__(
+        self,
+        slots_of: Callable[[str], int | None],
+        rate_limiter: UpstreamRateLimiter,
+        clock: Clock,
+    ) -> None:
         self._slots_of = slots_of
+        self._rate_limiter = rate_limiter
         self._clock = clock
         self._allocation_by_upstream: dict[str, _UpstreamAllocation] = {}
 
@@ -167,15 +212,18 @@
             if other_key != request_key
         )
         occupied = others + allocation.count_offers(claim.vm) + claim.held
-        if slots is None or occupied <= slots + UPSTREAM_QUEUE_DEPTH:
+        limit = self._rate_limiter.limit_of(claim.upstream)
+        has_slot = slots is None or occupied <= slots + UPSTREAM_QUEUE_DEPTH
+        if has_slot and self._take_token(allocation, claim, now):
             allocation.remove_offer(claim.vm, claim.ticket)
             allocation.refused_claim_by_request.pop(request_key, None)
             allocation.count_by_vm[claim.vm] = _Count(claim.held, now + COUNT_LIFETIME)
-            return ClaimAnswer(True, others, ahead)
+            return ClaimAnswer(True, others, ahead, limit)
+        limit_wait = self._rate_limiter.wait(claim.upstream)
         allocation.refused_claim_by_request[request_key] = _RefusedClaim(
             claim.vm, order, now + REFUSED_CLAIM_LIFETIME
         )
-        return ClaimAnswer(False, occupied - claim.held, ahead)
+        return ClaimAnswer(False, occupied - claim.held, ahead, limit, limit_wait)
 
     def set_count(self, vm: str, upstream_id: str, in_flight: int) -> None:
         """Set the number of requests that a VM has at an upstream."""
@@ -190,11 +238,8 @@
         """Remove the claim of a request that no longer waits, and its offered slot."""
         allocation = self._current_allocation(upstream_id, self._clock.now())
         allocation.refused_claim_by_request.pop((vm, ticket), None)
-        allocation.offers = [
-            offer
-            for offer in allocation.offers
-            if (offer.vm, offer.ticket) != (vm, ticket)
-        ]
+        for _ in range(allocation.withdraw_offer(vm, ticket)):
+            self._rate_limiter.refund(upstream_id)
 
     def offer_free_slots(self, upstream_id: str) -> list[tuple[str, int]]:
         """Offer the free slots; return VM and ticket of the requests that get an offer.
@@ -213,15 +258,25 @@
             - allocation.in_flight_of_others("")
             - len(allocation.offers)
         )
-        chosen = sorted(
+        chosen = []
+        for request_key, refused_claim in sorted(
             allocation.refused_claim_by_request.items(), key=lambda item: item[1].order
-        )[: max(free, 0)]
-        for request_key, refused_claim in chosen:
+        )[: max(free, 0)]:
+            if not self._rate_limiter.consume(upstream_id):
+                break
             del allocation.refused_claim_by_request[request_key]
             allocation.offers.append(
                 _Offer(refused_claim.vm, request_key[1], now + OFFER_LIFETIME)
             )
-        return [request_key for request_key, _ in chosen]
+            chosen.append(request_key)
+        return chosen
+
+    def time_to_next_offer(self, upstream_id: str) -> Millis | None:
+        """Return when the rate limit allows the next offer; None if no claim waits."""
+        allocation = self._current_allocation(upstream_id, self._clock.now())
+        if not allocation.refused_claim_by_request:
+            return None
+        return self._rate_limiter.wait(upstream_id)
 
     def in_flight_of_others(self, upstream_id: str, vm: str) -> int:
         """Return how many requests VMs other than `vm` have at an upstream."""
@@ -231,6 +286,7 @@
 
     def prune(self) -> None:
         """Drop upstreams without valid counts, refused claims or offers."""
+        self._rate_limiter.prune()
         now = self._clock.now()
         for upstream_id in list(self._allocation_by_upstream):
             if self._current_allocation(upstream_id, now).is_empty():
@@ -242,9 +298,24 @@
             allocation = self._allocation_by_upstream[upstream_id] = (
                 _UpstreamAllocation()
             )
-        allocation.drop_expired(now)
+        for _ in range(allocation.drop_expired(now)):
+            self._rate_limiter.refund(upstream_id)
         return allocation
 
+    def _take_token(
+        self, allocation: _UpstreamAllocation, claim: Claim, now: Millis
+    ) -> bool:
+        """Take a token of the limit, unless the claim has one by an offer or grant."""
+        if self._rate_limiter.limit_of(claim.upstream) is None:
+            return True
+        grants = allocation.grant_expiry_by_request
+        request_key = (claim.vm, claim.ticket)
+        has_token = request_key in grants or allocation.has_offer(claim.vm)
+        if not has_token and not self._rate_limiter.consume(claim.upstream):
+            return False
+        grants[request_key] = now + GRANT_MEMORY
+        return True
+
 
 def counts_to_send(
     in_flight_by_upstream: Mapping[str, int], sent_by_upstream: Mapping[str, int]
--- a/lagoonlatch/steering/upstreams.py
+++ b/lagoonlatch/steering/upstreams.py
@@ -1,18 +1,24 @@
-"""State of each upstream as this VM knows it: load, cold start, failures and rest."""
+"""State of each upstream as this VM knows it: load, cold start, limit and failures."""
 
 from __future__ import annotations
 
 import math
 from collections import OrderedDict, defaultdict
 from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import replace
 
-from lagoonlatch.clock import Clock, Millis
+from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
 from lagoonlatch.steering.model import Service, UpstreamRecord
+from lagoonlatch.steering.rate_limits import MIN_RATE, NamedLimit
 
 REPORTED_LOAD_LIFETIME: Millis = 300.0
 """How long the reported number of requests of other VMs is valid; after that, the
 upstream's home VM is asked again."""
 
+MAX_LIMIT_WAIT: Millis = 1_000.0
+"""A spent limit is claimed again after this time. The home VM remembers a refused claim
+a little longer."""
+
 MAX_REMEMBERED_OBJECTS = 24
 """Assumed number of objects that an upstream remembers, which it doesn't report."""
 
@@ -34,15 +40,15 @@
     Attributes
     ----------
     in_flight : int
-        Requests of this VM at this upstream.
+        Requests of this VM at this upstream, including claims without an answer.
+    unanswered_claims : int
+        Claims of slots without an answer.
     failure_share : float
         Moving average of the share of attempts that it failed, 0 to 1.
     is_suspect : bool
         Whether it gets no requests until it answers a health check.
     is_removed : bool
         Whether it was removed from the table.
-    rate_limit : float or None
-        Requests a second that it takes from all VMs together; None without a limit.
     is_leaving : bool
         Whether it has announced directly, to this or another VM, that it is about to
         stop. This holds until the end of its run, even if its entry in the store
@@ -58,12 +64,16 @@
         self.record = record
         self.region = region
         self.in_flight = 0
+        self.unanswered_claims = 0
         self.failure_share = 0.0
         self.is_suspect = False
         self.is_removed = False
         self.is_leaving = False
-        self.rate_limit: float | None = None
-        self._rate_limit_named_at: Millis = -math.inf
+        self._limit: NamedLimit | None = None
+        self._limit_named_at: Millis = -math.inf
+        self._epoch_known_at: Millis = -math.inf
+        self._limit_spent_until: Millis = -math.inf
+        self._claim_again_at: Millis = -math.inf
         self._rest_until: Millis = -math.inf
         self._clock = clock
         self._remembered_objects: OrderedDict[str, None] = OrderedDict()
@@ -79,6 +89,16 @@
         """
         return self.in_flight + (self._load_of_others if self._is_report_valid() else 0)
 
+    def held_slots(self) -> int:
+        """Return the number of slots that this VM reports to the home VM.
+
+        Most claims at an upstream with a rate limit are refused, so that reports with
+        unanswered claims would fill its slots.
+        """
+        if self._limit is None:
+            return self.in_flight
+        return self.in_flight - self.unanswered_claims
+
     def reported_ahead(self) -> int:
         """Return how many waiting requests of all VMs are served before this VM's.
 
@@ -142,29 +162,100 @@
         """Send nothing to the upstream for at least `duration`."""
         self._rest_until = max(self._rest_until, self._clock.now() + duration)
 
-    def set_rate_limit(self, rate_limit: float) -> bool:
-        """Record the limit that the upstream has named; return whether it is new."""
-        is_new = rate_limit != self.rate_limit
-        self.rate_limit = rate_limit
-        self._rate_limit_named_at = self._clock.now()
-        return is_new
+    @property
+    def rate_limit(self) -> float | None:
+        """Requests a second from all VMs together; None if it has named no limit."""
+        return self._limit.rate if self._limit is not None else None
+
+    def known_limit(self) -> NamedLimit | None:
+        """Return the limit as this VM knows it, with the home VM's latest epoch."""
+        return self._limit
+
+    def epoch_before(self, sent_at: Millis) -> int:
+        """Return the home VM's epoch if it was known at `sent_at`, else 0."""
+        is_known = self._limit is not None and self._epoch_known_at < sent_at
+        return self._limit.epoch if is_known else 0
 
-    def end_rate_limit(self, sent_at: Millis) -> bool:
-        """Return whether an answer without a limit ends the one that is known.
+    def name_limit(self, rate: float, sent_at: Millis) -> bool:
+        """Apply a limit that an answer names; return whether the known one changes.
 
         Answers of one upstream may arrive in another order than they were written in.
-        The request must therefore have been sent after the limit was last named.
+        A higher limit therefore counts only if the request was sent after the known
+        limit was last named.
 
         Parameters
         ----------
         sent_at : Millis
             When the answered request was sent.
         """
-        if self.rate_limit is None or sent_at <= self._rate_limit_named_at:
+        known = self._limit
+        if known is not None and rate > known.rate and not self._is_later(sent_at):
             return False
-        self.rate_limit = None
+        self._limit_named_at = self._clock.now()
+        epoch = known.epoch if known is not None else 0
+        self._limit = NamedLimit(rate=rate, born=self.record.born, epoch=epoch)
+        return known is None or known.rate != rate
+
+    def end_limit(self, sent_at: Millis) -> bool:
+        """Apply an answer without a limit; return whether it ends the known one.
+
+        Parameters
+        ----------
+        sent_at : Millis
+            When the answered request was sent.
+        """
+        if self._limit is None or not self._is_later(sent_at):
+            return False
+        self._limit = None
+        self._limit_spent_until = -math.inf
         return True
 
+    def set_limit_from_home(self, limit: NamedLimit | None) -> bool:
+        """Apply what the home VM knows; return whether the known limit changes."""
+        known = self._limit
+        if limit is None:
+            # A limit that the home VM has not confirmed may be newer than its answer.
+            if known is None or not known.epoch:
+                return False
+            self._limit = None
+            self._limit_spent_until = -math.inf
+            return True
+        if limit.born != self.record.born:
+            return False
+        if known is not None and known.epoch in (0, limit.epoch):
+            limit = replace(limit, rate=min(known.rate, limit.rate))
+        if known is None or known.epoch != limit.epoch:
+            self._epoch_known_at = self._clock.now()
+        self._limit = limit
+        return known is None or known.rate != limit.rate
+
+    def set_limit_wait(self, duration: Millis) -> None:
+        """Record that the limit allows the next request of any VM after `duration`."""
+        now = self._clock.now()
+        self._limit_spent_until = now + duration
+        self._claim_again_at = now + min(duration, MAX_LIMIT_WAIT)
+
+    def limit_wait(self) -> Millis:
+        """Return how long the limit allows no request, as far as this VM knows."""
+        if self._limit_spent_until == -math.inf:
+            return 0.0
+        return max(self._limit_spent_until - self._clock.now(), 0.0)
+
+    def is_limit_spent(self) -> bool:
+        """Return whether this VM should not claim a request at the upstream yet."""
+        return self.limit_wait() > 0.0 and self._clock.now() < self._claim_again_at
+
+    def expected_limit_wait(self) -> Millis:
+        """Return how long a new request has to wait for the limit."""
+        if self._limit is None:
+            return 0.0
+        rate = max(self._limit.rate, MIN_RATE)
+        return self.limit_wait() + self.reported_ahead() * MILLIS_PER_SECOND / rate
+
+    def _is_later(self, sent_at: Millis) -> bool:
+        """Return whether a request was sent after all known namings of the limit."""
+        return sent_at > max(self._limit_named_at, self._epoch_known_at)
+
     def set_cold(self, duration: Millis) -> None:
         """Treat the upstream as cold for at least `duration`."""
         self._cold_until = max(self._cold_until, self._clock.now() + duration)
@@ -300,12 +391,12 @@
         """Return the upstreams of a service."""
         return self._states_by_service[service].values()
 
-    def in_flight_by_id(self) -> dict[str, int]:
-        """Return this VM's requests at each upstream that has any."""
+    def held_slots_by_id(self) -> dict[str, int]:
+        """Return this VM's slots at each upstream at which it has any."""
         return {
-            upstream_id: state.in_flight
+            upstream_id: state.held_slots()
             for upstream_id, state in self._states_by_id.items()
-            if state.in_flight > 0
+            if state.held_slots() > 0
         }
 
     def find(self, upstream_id: str) -> UpstreamState | None:
--- a/tests/entry/test_attempts.py
+++ b/tests/entry/test_attempts.py
@@ -83,6 +83,7 @@
         self.upstream = self.upstream_table.find("i-1")
         self.sent = []
         self.reported = []
+        self.limit_reports = []
         self.answer = (200, [])
         self.pool = ScriptedPool(self)
         self.attempts = AttemptRunner(
@@ -92,7 +93,12 @@
             Admission(),
             Quarantine(self.clock, death_limit=3),
             self.reported.append,
-            UpstreamNotices(self.upstream_table, self.pool, self.reported.append),
+            UpstreamNotices(
+                self.upstream_table,
+                self.pool,
+                self.reported.append,
+                lambda *report: self.limit_reports.append(report),
+            ),
             EntryMetrics("vm-0", "n-a"),
             self.clock,
         )
--- a/tests/entry/test_handling.py
+++ b/tests/entry/test_handling.py
@@ -24,6 +24,7 @@
 from lagoonlatch.steering.model import RouteKind, TrafficRules
 from lagoonlatch.steering.placement import Placement, PlacementRequest
 from lagoonlatch.steering.queueing import WaitingQueue
+from lagoonlatch.steering.rate_limits import UpstreamRateLimiter
 from lagoonlatch.steering.retries import RetryBudget
 from lagoonlatch.steering.slots import SlotAllocator
 from lagoonlatch.upstreams.quarantine import Quarantine
@@ -97,10 +98,12 @@
         self.allowances.configure(self.facts.rules.organisations_by_id)
         self.quarantine = Quarantine(self.clock, death_limit=3)
         placement = Placement(self.upstream_table, "north", ["north"], lambda _: True)
+        self.limiter = UpstreamRateLimiter(lambda _: 1.0, self.clock)
         self.slots = SlotClient(
             "vm",
             self.upstream_table,
-            SlotAllocator(self.upstream_table.slots_of, self.clock),
+            SlotAllocator(self.upstream_table.slots_of, self.limiter, self.clock),
+            self.limiter,
             SlotHomes(list, {}, self.clock),
             lambda vm, datagram: None,
             lambda: None,
--- a/tests/entry/test_slots.py
+++ b/tests/entry/test_slots.py
@@ -6,6 +6,7 @@
 from lagoonlatch.clock import Clock
 from lagoonlatch.entry.slots import CLAIM_TIMEOUT, CLAIM_TRIES, SlotClient
 from lagoonlatch.steering.homes import SlotHomes
+from lagoonlatch.steering.rate_limits import UpstreamRateLimiter
 from lagoonlatch.steering.slots import UPSTREAM_QUEUE_DEPTH, SlotAllocator
 from tests.steering.samples import (
     REGION_BY_DATA_CENTRE,
@@ -30,6 +31,7 @@
         self.clock = Clock()
         self.is_lost = lambda sender, receiver: False
         self.records = [make_vm(f"vm-{n}", "n-a") for n in range(count)]
+        self.fraction_by_vm = {vm.id: 1.0 for vm in self.records}
         self.offered_vms = []
         self.vm_by_id = {vm.id: self._make(vm.id, slots) for vm in self.records}
         for homes in self.homes_by_id.values():
@@ -45,10 +47,12 @@
             self.homes_by_id, self.upstream_table_by_id = {}, {}
         self.homes_by_id[name] = homes
         self.upstream_table_by_id[name] = upstream_table
+        limiter = UpstreamRateLimiter(lambda _: self.fraction_by_vm[name], self.clock)
         return SlotClient(
             name,
             upstream_table,
-            SlotAllocator(upstream_table.slots_of, self.clock),
+            SlotAllocator(upstream_table.slots_of, limiter, self.clock),
+            limiter,
             homes,
             lambda vm, datagram: self._send(name, vm.id, datagram),
             lambda: self.offered_vms.append(name),
@@ -67,6 +71,8 @@
                 self.vm_by_id[sender].handle_verdict(verdict)
         elif datagram.counts is not None:
             vm.handle_counts(datagram.counts)
+        elif datagram.limit_report is not None:
+            vm.handle_limit_report(datagram.limit_report)
         elif datagram.room is not None:
             vm.handle_offer(datagram.room)
         elif datagram.decline is not None:
--- a/tests/steering/test_slots.py
+++ b/tests/steering/test_slots.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 
 from lagoonlatch.standins.manual_clock import ManualClock
+from lagoonlatch.steering.rate_limits import UpstreamRateLimiter
 from lagoonlatch.steering.slots import (
     COUNT_LIFETIME,
     OFFER_LIFETIME,
@@ -22,7 +23,9 @@
 def make_allocator(max_requests=2):
     """Return an allocator that grants up to `max_requests` requests at an upstream."""
     clock = ManualClock()
-    return SlotAllocator({"u1": max_requests - UPSTREAM_QUEUE_DEPTH}.get, clock), clock
+    limiter = UpstreamRateLimiter(lambda _: 1.0, clock)
+    slots = {"u1": max_requests - UPSTREAM_QUEUE_DEPTH}
+    return SlotAllocator(slots.get, limiter, clock), clock
 
 
 def claim(vm, held=1, ticket=1, priority=NORMAL, waited=0.0, upstream="u1"):
@@ -222,7 +225,9 @@
     for queued in (0, UPSTREAM_QUEUE_DEPTH):
         clock = ManualClock()
         allocator = SlotAllocator(
-            {"u1": slots + queued - UPSTREAM_QUEUE_DEPTH}.get, clock
+            {"u1": slots + queued - UPSTREAM_QUEUE_DEPTH}.get,
+            UpstreamRateLimiter(lambda _: 1.0, clock),
+            clock,
         )
         sent, running, done, number, begun = [], [], 0, 0, 0
         for _ in range(2_560):
