--- a/lagoonlatch/entry/peer.thrift
+++ b/lagoonlatch/entry/peer.thrift
@@ -123,6 +123,8 @@
   8: i32 waited,
   // The rate limit of the upstream, if the VM knows one.
   9: optional NamedLimit limit,
+  // Milliseconds since the VM last heard of the limit.
+  10: optional i32 limit_age,
 }
 
 // Answers a Claim.
--- a/lagoonlatch/entry/slots.py
+++ b/lagoonlatch/entry/slots.py
@@ -41,6 +41,9 @@
 MIN_OFFER_DELAY: Millis = 5.0
 """Shortest delay of offers for which the home VM waits for a rate limit."""
 
+MAX_WIRE_MILLIS: Millis = 2.0**31 - 1.0
+"""Longest duration that a field of a message can hold."""
+
 CHECK_PRIORITY: Priority = (2**31 - 1, 2**31 - 1)
 """Health checks come after all requests of callers."""
 
@@ -236,6 +239,7 @@
                 waited=float(claim.waited),
             ),
             _decode_limit(claim.limit),
+            float(claim.limit_age or 0),
         )
         return wire.Verdict(
             claim.number,
@@ -243,7 +247,7 @@
             verdict.others,
             verdict.ahead,
             _encode_limit(verdict.limit),
-            round(verdict.limit_wait),
+            _clip(verdict.limit_wait),
         )
 
     def handle_verdict(self, answer: wire.Verdict) -> None:
@@ -305,10 +309,12 @@
         if verdict.limit is not None:
             upstream.set_limit_wait(verdict.limit_wait)
 
-    def _claim_locally(self, claim: Claim, known: NamedLimit | None) -> ClaimAnswer:
-        """Decide on a claim of a VM that knows the limit `known`."""
+    def _claim_locally(
+        self, claim: Claim, known: NamedLimit | None, age: Millis
+    ) -> ClaimAnswer:
+        """Decide on a claim of a VM that heard of the limit `known` `age` ago."""
         if known is not None:
-            self._limiter.report_known(claim.upstream, known)
+            self._limiter.report_known(claim.upstream, known, age)
         answer = self._allocator.claim(claim)
         if answer.limit_wait > 0.0:
             self._offer_when_limit_allows(claim.upstream)
@@ -353,10 +359,11 @@
             home = self._home_of(upstream)
             if home is None:
                 return None
-            limit = upstream.known_limit()
             if home.id == self._me:
-                return self._claim_locally(claim, limit)
-            answer = self._claim_remotely(home, claim, limit, tries)
+                return self._claim_locally(
+                    claim, upstream.known_limit(), upstream.limit_age()
+                )
+            answer = self._claim_remotely(home, claim, upstream, tries)
             if answer is not None:
                 return answer
             self._homes.mark_unreachable(home.id)
@@ -364,9 +371,10 @@
         return None
 
     def _claim_remotely(
-        self, home: VmRecord, claim: Claim, limit: NamedLimit | None, tries: int
+        self, home: VmRecord, claim: Claim, upstream: UpstreamState, tries: int
     ) -> ClaimAnswer | None:
         """Claim a slot at another VM; return None if it doesn't answer."""
+        limit = upstream.known_limit()
         number = next(self._claim_numbers)
         pending_verdict = self._pending_verdict_by_claim_number[number] = AsyncResult()
         message = wire.Claim(
@@ -379,6 +387,7 @@
             route_priority=claim.priority[1],
             waited=round(claim.waited),
             limit=_encode_limit(limit),
+            limit_age=None if limit is None else _clip(upstream.limit_age()),
         )
         try:
             for _ in range(tries):
@@ -440,6 +449,11 @@
         emit(UpstreamLimited(upstream=upstream.record.id, rate=rate, told_by=told_by))
 
 
+def _clip(duration: Millis) -> int:
+    """Return a duration as the field of a message can hold it."""
+    return round(min(duration, MAX_WIRE_MILLIS))
+
+
 def _encode_limit(limit: NamedLimit | None) -> wire.NamedLimit | None:
     if limit is None:
         return None
--- a/lagoonlatch/steering/rate_authority.py
+++ b/lagoonlatch/steering/rate_authority.py
@@ -32,7 +32,7 @@
 """Time after which all VMs whose knowledge is recent know a new entry."""
 
 UNCERTAIN_FRACTION = 0.25
-DEPUTY_FRACTION = 0.45
+DEPUTY_FRACTION = 0.4
 """Each of them, together with the whole limit, stays below the one and a half times
 that an upstream tolerates."""
 
--- a/lagoonlatch/steering/rate_limits.py
+++ b/lagoonlatch/steering/rate_limits.py
@@ -13,6 +13,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, replace
@@ -78,8 +79,9 @@
         self._fraction_of = fraction_of
         self._clock = clock
         self._bucket_by_upstream: dict[str, _Bucket] = {}
+        self._ended_at_by_run: dict[tuple[str, float], Millis] = {}
         # The random start makes the epochs of different VMs and runs differ.
-        self._first_epoch = self._last_epoch = random.getrandbits(40) << 20
+        self._last_epoch = random.getrandbits(40) << 20
 
     def limit_of(self, upstream_id: str) -> NamedLimit | None:
         """Return the limit of an upstream, or None."""
@@ -104,10 +106,17 @@
         if limit.born == named.born and (is_newer or named.rate <= limit.rate):
             self._set(upstream_id, named)
 
-    def report_known(self, upstream_id: str, known: NamedLimit) -> None:
-        """Apply a limit that another VM knows, unless it has ended here since."""
-        has_ended_here = self._first_epoch <= known.epoch <= self._last_epoch
-        if not has_ended_here and self._bucket_of_run(upstream_id, known.born) is None:
+    def report_known(self, upstream_id: str, known: NamedLimit, age: Millis) -> None:
+        """Apply a limit that another VM knows, unless it has ended since.
+
+        Parameters
+        ----------
+        age : Millis
+            How long ago the VM last heard of the limit.
+        """
+        ended_at = self._ended_at_by_run.get((upstream_id, known.born), -math.inf)
+        has_ended = self._clock.now() - age <= ended_at
+        if not has_ended and self._bucket_of_run(upstream_id, known.born) is None:
             self._set(upstream_id, known)
 
     def report_ended(self, upstream_id: str, born: float, epoch: int) -> None:
@@ -115,6 +124,7 @@
         limit = self.limit_of(upstream_id)
         if limit is not None and (limit.born, limit.epoch) == (born, epoch):
             del self._bucket_by_upstream[upstream_id]
+            self._ended_at_by_run[upstream_id, born] = self._clock.now()
 
     def consume(self, upstream_id: str) -> bool:
         """Return whether a request may be sent to an upstream now, and count it."""
@@ -145,11 +155,14 @@
         return max(1.0 - bucket.level, 0.0) / rate * MILLIS_PER_SECOND
 
     def prune(self) -> None:
-        """Drop limits that have not been named for `LIMIT_LIFETIME`."""
+        """Drop limits that were named or ended `LIMIT_LIFETIME` ago."""
         now = self._clock.now()
         for upstream_id, bucket in list(self._bucket_by_upstream.items()):
             if now - bucket.named_at >= LIMIT_LIFETIME:
                 del self._bucket_by_upstream[upstream_id]
+        for run, ended_at in list(self._ended_at_by_run.items()):
+            if now - ended_at >= LIMIT_LIFETIME:
+                del self._ended_at_by_run[run]
 
     def _bucket_of_run(self, upstream_id: str, born: float) -> _Bucket | None:
         """Return the bucket of an upstream unless it is of an earlier run."""
--- a/lagoonlatch/steering/upstreams.py
+++ b/lagoonlatch/steering/upstreams.py
@@ -71,6 +71,7 @@
         self.is_leaving = False
         self._limit: NamedLimit | None = None
         self._limit_named_at: Millis = -math.inf
+        self._limit_confirmed_at: Millis = -math.inf
         self._epoch_known_at: Millis = -math.inf
         self._limit_spent_until: Millis = -math.inf
         self._claim_again_at: Millis = -math.inf
@@ -171,9 +172,13 @@
         """Return the limit as this VM knows it, with the home VM's latest epoch."""
         return self._limit
 
+    def limit_age(self) -> Millis:
+        """Return how long ago this VM last heard of the limit."""
+        return self._clock.now() - max(self._limit_named_at, self._limit_confirmed_at)
+
     def epoch_before(self, sent_at: Millis) -> int:
         """Return the home VM's epoch if it was known at `sent_at`, else 0."""
-        is_known = self._limit is not None and self._epoch_known_at < sent_at
+        is_known = self._limit is not None and self._epoch_known_at <= sent_at
         return self._limit.epoch if is_known else 0
 
     def name_limit(self, rate: float, sent_at: Millis) -> bool:
@@ -224,8 +229,9 @@
             return False
         if known is not None and known.epoch in (0, limit.epoch):
             limit = replace(limit, rate=min(known.rate, limit.rate))
+        self._limit_confirmed_at = self._clock.now()
         if known is None or known.epoch != limit.epoch:
-            self._epoch_known_at = self._clock.now()
+            self._epoch_known_at = self._limit_confirmed_at
         self._limit = limit
         return known is None or known.rate != limit.rate
 
@@ -254,7 +260,7 @@
 
     def _is_later(self, sent_at: Millis) -> bool:
         """Return whether a request was sent after all known namings of the limit."""
-        return sent_at > max(self._limit_named_at, self._epoch_known_at)
+        return self._limit_named_at < sent_at and self._epoch_known_at <= sent_at
 
     def set_cold(self, duration: Millis) -> None:
         """Treat the upstream as cold for at least `duration`."""
--- a/tests/steering/limited_fleet.py
+++ b/tests/steering/limited_fleet.py
@@ -10,6 +10,7 @@
 
 import heapq
 import itertools
+import math
 import random
 import sys
 from bisect import bisect_left
@@ -132,6 +133,7 @@
         self.clock = ManualClock(1_000_000.0)
         self.started = self.clock.now()
         self.rate: float | None = rate
+        self._changes: list[tuple[Millis, float | None]] = [(self.started, rate)]
         self.demand = rate * OVERLOAD
         self.arrivals: list[tuple[Millis, bool]] = []
         self._told_at_by_vm: dict[str, Millis] = {}
@@ -222,6 +224,11 @@
         for name in names:
             self.vm_by_id[name].group = 0
 
+    def name_limit(self, rate: float | None) -> None:
+        """Let the upstream name another limit from now on, or none."""
+        self.rate = rate
+        self._changes.append((self.clock.now(), rate))
+
     def after(self, delay: Millis, action: Callable[[], None]) -> None:
         """Run an action later."""
         item = (self.clock.now() + delay, next(self._order), action)
@@ -251,18 +258,38 @@
             for at, is_told in self.arrivals
             if at >= self.first_named + CONTACT and (is_told or not only_told)
         ]
-        counts = [
-            bisect_left(times, start + WINDOW) - index
-            for index, start in enumerate(times)
+        windows = [(0, 0.0)]
+        for index, start in enumerate(times):
+            rate = self._highest_limit(start)
+            if rate is not None:
+                count = bisect_left(times, start + WINDOW) - index
+                windows.append((count, 1.5 * rate * WINDOW / MILLIS_PER_SECOND + 5.0))
+        return max(windows, key=lambda window: window[0] - window[1])
+
+    def _highest_limit(self, start: Millis) -> float | None:
+        """Return the highest limit that counts in a window; None if one has none.
+
+        A limit counts from `CONTACT` after it was named, the earlier one until then.
+        """
+        ends = [at for at, _ in self._changes[1:]] + [math.inf]
+        rates = [
+            rate
+            for (named, rate), end in zip(self._changes, ends, strict=True)
+            if named < start + WINDOW and end + CONTACT > start
         ]
-        return max(counts, default=0), 1.5 * self.rate * WINDOW / 1_000.0 + 5.0
+        return None if None in rates else max(rates)
+
+    def served_per_second(self, start: Millis, end: Millis) -> float:
+        """Return the arrivals a second between two times of the play."""
+        first, last = self.started + start, self.started + end
+        count = sum(first <= at < last for at, _ in self.arrivals)
+        return count * MILLIS_PER_SECOND / (end - start)
 
-    def used_share(self, since: Millis = CONTACT) -> float:
-        """Return the arrivals as a share of the limit, from `since` on."""
-        start = self.started + since
-        count = sum(at >= start for at, _ in self.arrivals)
-        seconds = (self.clock.now() - start) / MILLIS_PER_SECOND
-        return count / (self.rate * seconds)
+    def used_share(self) -> float:
+        """Return the arrivals as a share of the limit that was named last."""
+        since = max(self._changes[-1][0], self.started) + CONTACT - self.started
+        duration = self.clock.now() - self.started
+        return self.served_per_second(since, duration) / self.rate
 
     # The store.
 
@@ -380,7 +407,7 @@
         home = vm.homes.home_of(UPSTREAM, "n-a", anywhere=True)
         vm.state.in_flight += 1
         vm.state.unanswered_claims += 1
-        limit = vm.state.known_limit()
+        limit, age = vm.state.known_limit(), vm.state.limit_age()
         claim = Claim(
             vm=vm.record.id,
             upstream=UPSTREAM,
@@ -394,7 +421,7 @@
         def answer(target: _Vm) -> None:
             target.homes.mark_reachable(vm.record.id)
             if limit is not None:
-                target.limiter.report_known(UPSTREAM, limit)
+                target.limiter.report_known(UPSTREAM, limit, age)
             verdict = target.allocator.claim(claim)
             if verdict.limit_wait > 0.0:
                 self._offer_when_limit_allows(target)
@@ -609,6 +636,18 @@
         fleet._next_caller(f"new-{number}")
 
 
+@fault
+def limit_lowered(fleet: LimitedFleet) -> None:
+    """Let the upstream take a third of what it took."""
+    fleet.name_limit(fleet.rate / 3.0)
+
+
+@fault
+def limit_raised(fleet: LimitedFleet) -> None:
+    """Let the upstream take twice as much."""
+    fleet.name_limit(fleet.rate * 2.0)
+
+
 def play(
     count: int, rate: float, seed: int, name: str, loss: float = 0.0
 ) -> LimitedFleet:
@@ -633,7 +672,7 @@
             worst = [
                 max(
                     (fleet.worst_window(only_told) for fleet in results),
-                    key=lambda window: window[0] / window[1],
+                    key=lambda window: window[0] - window[1],
                 )
                 for only_told in (True, False)
             ]
