Name rate limits in the soak, and test the parts of the limit

Cause: no fault of the soak named a limit, so that clean seeds proved nothing of it; the parts of the fix had no tests of their own.

Change: the soak gets the fault upstream_names_limit and an oracle that counts as the rule does (requests of VMs that were told, in any 4 s from 3 s after the first naming). Two planted faults show that it finds them: limit_ignored, and limit_kept_by_each_vm, where each VM grants itself the whole limit. Unit tests for the bucket, the authority, claims, placement, handling and admission. One of them found that a home VM that knows of no limit could not end the one that an idle VM had heard of before: a verdict now ends it unless the limit was named after the claim was sent.

--- a/lagoonlatch/entry/slots.py
+++ b/lagoonlatch/entry/slots.py
@@ -108,6 +108,7 @@
         ticket : int
             Identifies the request among those of this VM.
         """
+        asked_at = self._clock.now()
         upstream.in_flight += 1
         upstream.unanswered_claims += 1
         verdict: ClaimAnswer | None = None
@@ -127,7 +128,7 @@
             upstream.set_limit_wait(UNANSWERED_CLAIM_WAIT)
             return False
         upstream.set_load_of_others(verdict.others, verdict.ahead)
-        self._apply_limit(upstream, verdict)
+        self._apply_limit(upstream, verdict, asked_at)
         refused_upstreams = self._refused_upstreams_by_ticket[ticket]
         if verdict.granted:
             refused_upstreams.discard(upstream.record.id)
@@ -303,8 +304,10 @@
             anywhere=upstream.rate_limit is not None,
         )
 
-    def _apply_limit(self, upstream: UpstreamState, verdict: ClaimAnswer) -> None:
-        if upstream.set_limit_from_home(verdict.limit):
+    def _apply_limit(
+        self, upstream: UpstreamState, verdict: ClaimAnswer, asked_at: Millis
+    ) -> None:
+        if upstream.set_limit_from_home(verdict.limit, asked_at):
             emit_limit_change(upstream, "home VM")
         if verdict.limit is not None:
             upstream.set_limit_wait(verdict.limit_wait)
--- a/lagoonlatch/steering/upstreams.py
+++ b/lagoonlatch/steering/upstreams.py
@@ -215,12 +215,17 @@
         self._limit_spent_until = -math.inf
         return True
 
-    def set_limit_from_home(self, limit: NamedLimit | None) -> bool:
-        """Apply what the home VM knows; return whether the known limit changes."""
+    def set_limit_from_home(self, limit: NamedLimit | None, asked_at: Millis) -> bool:
+        """Apply what the home VM knows; return whether the known limit changes.
+
+        Parameters
+        ----------
+        asked_at : Millis
+            When this VM sent its claim, and with it the limit that it knew.
+        """
         known = self._limit
         if limit is None:
-            # A limit that the home VM has not confirmed may be newer than its answer.
-            if known is None or not known.epoch:
+            if known is None or self._limit_named_at > asked_at:
                 return False
             self._limit = None
             self._limit_spent_until = -math.inf
--- a/tests/entry/test_attempts.py
+++ b/tests/entry/test_attempts.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from lagoonlatch.entry.attempts import AttemptRunner
+from lagoonlatch.entry.attempts import GRANT_LIFETIME, AttemptRunner
 from lagoonlatch.entry.exchange import AnswerMemoryLimit
 from lagoonlatch.entry.messages import Answered, NotRun, UpstreamAnswer, UpstreamRequest
 from lagoonlatch.entry.metrics import EntryMetrics
@@ -185,3 +185,42 @@
     harness.run()
     assert previous_run.is_removed
     assert harness.upstream_table.is_usable(harness.upstream_table.find("i-1"))
+
+
+def test_limit_in_an_answer_is_reported_to_the_home_vm(harness):
+    harness.answer = (200, [(b"server-limit", b"2.5")])
+    harness.run()
+    assert harness.upstream.rate_limit == 2.5
+    ((state, limit, is_ended),) = harness.limit_reports
+    assert state is harness.upstream
+    assert (limit.rate, is_ended) == (2.5, False)
+
+
+def test_answer_without_a_limit_ends_it(harness):
+    harness.answer = (200, [(b"server-limit", b"2.5")])
+    harness.run()
+    harness.clock.advance(1.0)
+    harness.answer = (200, [])
+    harness.run()
+    assert harness.upstream.rate_limit is None
+    assert harness.limit_reports[-1][2]
+
+
+def test_unreadable_limit_does_not_end_the_known_one(harness):
+    harness.answer = (200, [(b"server-limit", b"2.5")])
+    harness.run()
+    harness.clock.advance(1.0)
+    harness.answer = (200, [(b"server-limit", b"much")])
+    harness.run()
+    assert harness.upstream.rate_limit == 2.5
+
+
+def test_request_that_connects_slowly_is_not_sent_under_a_limit(harness):
+    harness.upstream.name_limit(2.5, harness.clock.now())
+    harness.pool.on_open = lambda: harness.clock.advance(GRANT_LIFETIME + 1.0)
+    assert isinstance(harness.run(), NotRun)
+    assert harness.sent == []
+    harness.clock.advance(1.0)
+    harness.upstream.end_limit(harness.clock.now())
+    harness.pool.drop("i-1")
+    assert isinstance(harness.run(), Answered)
--- a/tests/entry/test_handling.py
+++ b/tests/entry/test_handling.py
@@ -429,3 +429,31 @@
     assert forwarded.status == 503
     names = {name for name, _ in forwarded.headers}
     assert not names & {b"Retry-After", b"Server-Leaving"}
+
+
+def limit_all(harness, wait, names=("u1", "u2", "u3")):
+    """Let upstreams name a limit that is spent for `wait`."""
+    for name in names:
+        state = harness.upstream_table.find(name)
+        state.name_limit(0.5, harness.clock.now())
+        harness.limiter.report_named(name, state.known_limit())
+        state.set_limit_wait(wait)
+
+
+def test_request_is_rejected_at_once_if_all_limits_are_spent():
+    harness = HandlerHarness()
+    limit_all(harness, 5_000.0)
+    started = harness.clock.now()
+    answer = harness.send_request()
+    assert answer.status == 503
+    assert harness.clock.now() == started
+    assert not harness.tried_upstreams()
+    (retry_after,) = (value for name, value in answer.headers if name == b"Retry-After")
+    assert 2.0 <= float(retry_after) <= 4.0
+
+
+def test_request_goes_elsewhere_if_the_limit_of_its_first_upstream_is_spent():
+    harness = HandlerHarness(Answered(make_answer()))
+    limit_all(harness, 5_000.0, names=("u1", "u2"))
+    assert harness.send_request().status == 200
+    assert harness.tried_upstreams() == ["u3"]
--- a/tests/entry/test_slots.py
+++ b/tests/entry/test_slots.py
@@ -6,7 +6,7 @@
 from lagoonlatch.clock import Clock
 from lagoonlatch.entry.slots import CLAIM_TIMEOUT, CLAIM_TRIES, SlotClient
 from lagoonlatch.steering.homes import SlotHomes
-from lagoonlatch.steering.rate_limits import UpstreamRateLimiter
+from lagoonlatch.steering.rate_limits import NamedLimit, UpstreamRateLimiter
 from lagoonlatch.steering.slots import UPSTREAM_QUEUE_DEPTH, SlotAllocator
 from tests.steering.samples import (
     REGION_BY_DATA_CENTRE,
@@ -204,3 +204,107 @@
     gevent.joinall(tasks, timeout=20)
     assert served == 40
     assert max_in_progress <= slots
+
+
+def name_limit(net, vm, rate=10.0):
+    """Let an answer to a request of `vm` name a limit."""
+    state = net.state(vm)
+    state.name_limit(rate, net.clock.now())
+    limit = NamedLimit(rate=rate, born=state.record.born)
+    net.vm_by_id[vm].report_limit(state, limit, is_ended=False)
+    gevent.sleep(0.01)
+
+
+def test_limit_named_to_one_vm_bounds_the_requests_of_all():
+    net = Network(count=5, slots=50)
+    name_limit(net, net.others()[0])
+    granted = 0
+    started = net.clock.now()
+    ticket = 0
+    while net.clock.now() - started < 1_000.0:
+        for vm in net.vm_by_id:
+            ticket += 1
+            granted += net.claim(vm, ticket)
+            net.vm_by_id[vm].stop_waiting(ticket)
+        gevent.sleep(0.005)
+    assert 9 <= granted <= 13
+    assert all(net.state(vm).rate_limit == 10.0 for vm in net.vm_by_id)
+
+
+def test_unanswered_claim_does_not_count_as_granted_under_a_limit():
+    net = Network(slots=9)
+    vm = net.others()[0]
+    name_limit(net, vm)
+    net.is_lost = lambda sender, receiver: True
+    assert not net.claim(vm)
+    assert net.state(vm).in_flight == 0
+    assert net.state(vm).is_limit_spent()
+
+
+def test_vm_that_was_not_told_learns_the_limit_from_the_second_home_vm():
+    net = Network(count=4, slots=9)
+    home = net.home()
+    homes = net.homes_by_id[home]
+    deputy = homes.first_homes("u1", "n-a")[1].id
+    told, untold = (vm for vm in net.vm_by_id if vm not in (home, deputy))
+    name_limit(net, told)
+    net.fraction_by_vm[deputy] = 0.0
+    net.is_lost = lambda sender, receiver: home in (sender, receiver)
+    assert not net.claim(untold)
+    assert net.state(untold).rate_limit == 10.0
+
+
+def test_vm_without_authority_grants_nothing_under_a_limit():
+    net = Network(slots=9)
+    vm = net.others()[0]
+    name_limit(net, vm)
+    net.fraction_by_vm[net.home()] = 0.0
+    gevent.sleep(0.3)
+    assert not net.claim(vm)
+
+
+def test_restarted_home_vm_learns_the_limit_from_claims():
+    net = Network(slots=9)
+    vm = net.others()[0]
+    name_limit(net, vm, rate=0.5)
+    home = net.home()
+    net.vm_by_id[home] = net._make(home, slots=9)
+    net.homes_by_id[home].refresh()
+    assert not net.claim(vm)
+
+
+def test_slots_are_offered_when_the_limit_allows_the_next_request():
+    net = Network(slots=9)
+    vm = net.others()[0]
+    name_limit(net, vm)
+    assert not net.claim(vm)
+    gevent.sleep(0.2)
+    assert net.offered_vms == [vm]
+    assert net.claim(vm)
+
+
+def test_limit_that_has_ended_is_not_brought_back_by_an_idle_vm():
+    net = Network(slots=9)
+    idle, vm = net.others()
+    name_limit(net, idle)
+    gevent.sleep(0.3)
+    assert net.claim(vm)
+    state = net.state(vm)
+    assert state.end_limit(net.clock.now())
+    home = net.vm_by_id[net.home()]
+    epoch = home._limiter.limit_of("u1").epoch
+    limit = NamedLimit(rate=0.0, born=state.record.born, epoch=epoch)
+    net.vm_by_id[vm].report_limit(state, limit, is_ended=True)
+    gevent.sleep(0.02)
+    assert net.claim(idle)
+    assert net.state(idle).rate_limit is None
+
+
+def test_health_check_takes_a_token_of_the_limit():
+    net = Network(slots=9)
+    vm = net.others()[0]
+    name_limit(net, vm, rate=5.0)
+    gevent.sleep(0.25)
+    assert net.vm_by_id[vm].claim_check(net.state(vm))
+    assert not net.vm_by_id[vm].claim_check(net.state(vm))
+    assert net.state(vm).in_flight == 0
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -2,6 +2,7 @@
 
 from lagoonlatch.platform.directory import encode_lookup_answer, read_lookup_query
 from lagoonlatch.platform.headers import (
+    for_callers,
     is_own_request_field,
     own_request_fields,
     read_answer_fields,
@@ -105,3 +106,8 @@
     assert encode_lookup_answer(["a:1"], 2_000.0) == b'{"addrs":["a:1"],"ttl_s":2.0}'
     many = encode_lookup_answer([f"a:{i}" for i in range(100)], 2_000.0)
     assert many.count(b"a:") == 64
+
+
+def test_rate_limit_of_an_upstream_is_not_passed_on_to_callers():
+    headers = [(b"Server-Limit", b"2"), (b"Server-Stamp", b"s")]
+    assert for_callers(200, headers) == [(b"Server-Stamp", b"s")]
--- a/tests/soak/kinds.py
+++ b/tests/soak/kinds.py
@@ -265,6 +265,20 @@
         instance.rest = None
 
 
+@kind
+def upstream_names_limit(world: World, rng: random.Random, duration: Millis) -> None:
+    """Let an upstream name a rate limit, change it, and take it back."""
+    name = _any_instance(world, rng)
+    if _is_busy(world, name):
+        return
+    instance = world.instances_by_id[name]
+    with _Disturbed(world, "upstream_names_limit", name):
+        for _ in range(rng.choice([1, 1, 2])):
+            world.name_limit(instance, rng.choice([1.5, 4.0, 10.0]))
+            _sleep(duration + 4_000.0)
+        world.name_limit(instance, None)
+
+
 @kind
 def keys_change(world: World, rng: random.Random, _duration: Millis) -> None:
     """Withdraw the key and give another one, and change the rate."""
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -30,6 +30,17 @@
 QUOTA_SLACK = 20.0
 """Runs in a window: (rate x window + burst) x excess + slack, as the rules have it."""
 
+LIMIT_WINDOW: Millis = 4_000.0
+LIMIT_STARTS: Millis = 3_000.0
+"""A limit counts from so long after it was first named; as for `SETTLE`."""
+
+LIMIT_TOLD: Millis = 500.0
+"""Requests of a VM count from so long after it has passed on an answer with a limit."""
+
+LIMIT_EXCESS = 1.5
+LIMIT_SLACK = 5.0
+"""Requests in a window: limit x window x excess + slack, as the rules have it."""
+
 CROSSING: Millis = 200.0
 """A request that is not passed on may meet the close of its connection this late."""
 
@@ -65,6 +76,7 @@
     yield from _leaving_problems(world)
     yield from _rest_problems(world)
     yield from _quota_problems(world)
+    yield from _limit_problems(world)
 
 
 def _own_ends(world: World) -> Iterator[str]:
@@ -179,6 +191,66 @@
                 )
 
 
+def _limit_problems(world: World) -> Iterator[str]:
+    """Check the rate limits that upstreams have named, over all VMs together."""
+    asked_by_id = {asked.id: asked for asked in world.history.asked}
+    for instance in world.instances_by_id.values():
+        changes = [
+            (at, rate) for at, name, rate in world.history.limits if name == instance.id
+        ]
+        told_at_by_vm: dict[str, Millis] = {}
+        for _, request, _ in instance.limit_told:
+            told = asked_by_id.get(request)
+            if told is not None and told.status:
+                at = told_at_by_vm.get(told.vm, told.ended)
+                told_at_by_vm[told.vm] = min(at, told.ended)
+        times = sorted(
+            at
+            for at, request in instance.arrivals
+            if (asked := asked_by_id.get(request)) is not None
+            and at >= told_at_by_vm.get(asked.vm, float("inf")) + LIMIT_TOLD
+            and not _is_disturbed_vm(world, asked.vm, at)
+        )
+        for index, start in enumerate(times):
+            rate = _highest_limit(changes, start)
+            if rate is None:
+                continue
+            count = _count_until(times, index, start + LIMIT_WINDOW)
+            seconds = LIMIT_WINDOW / MILLIS_PER_SECOND
+            allowed = rate * seconds * LIMIT_EXCESS + LIMIT_SLACK
+            if count > allowed:
+                yield (
+                    f"{instance.id} got {count} requests in {seconds:g} s from VMs "
+                    f"that it had told its limit of {rate:g} a second; allowed "
+                    f"{allowed:g}"
+                )
+                break
+
+
+def _highest_limit(
+    changes: list[tuple[Millis, float | None]], start: Millis
+) -> float | None:
+    """Return the highest limit that counts in a window; None if there may be none."""
+    ends = [at for at, _ in changes[1:]] + [float("inf")]
+    rates = [
+        rate
+        for (named, rate), end in zip(changes, ends, strict=True)
+        if named < start + LIMIT_WINDOW and end + LIMIT_STARTS > start
+    ]
+    is_settled = bool(changes) and changes[0][0] + LIMIT_STARTS <= start
+    return max(rates) if is_settled and None not in rates else None
+
+
+def _is_disturbed_vm(world: World, vm: str, at: Millis) -> bool:
+    """Return whether a restart or a pause excuses a VM's requests."""
+    return any(
+        span.subject == vm
+        and span.kind in ("vm_kill", "vm_stop", "vm_pause")
+        and span.start <= at <= span.end + SETTLE
+        for span in world.history.spans
+    )
+
+
 def _arrived(
     asked_by_id: dict[str, Asked], instance: InstanceStandin, vm: str
 ) -> Iterator[Asked]:
--- a/tests/soak/planted.py
+++ b/tests/soak/planted.py
@@ -104,6 +104,26 @@
     UpstreamState.set_rest = lambda self, duration: None
 
 
+@plant
+def limit_ignored() -> None:
+    """Keep to no limit that upstreams name."""
+    from lagoonlatch.steering.rate_limits import UpstreamRateLimiter
+
+    UpstreamRateLimiter.consume = lambda self, upstream_id: True
+
+
+@plant
+def limit_kept_by_each_vm() -> None:
+    """Let each VM grant itself the whole limit."""
+    from types import SimpleNamespace
+
+    from lagoonlatch.entry.slots import SlotClient
+    from lagoonlatch.steering.rate_authority import RateAuthority
+
+    RateAuthority.fraction = lambda self, upstream_id, data_centre: 1.0
+    SlotClient._home_of = lambda self, upstream: SimpleNamespace(id=self._me)
+
+
 @plant
 def cut_at_stop() -> None:
     """End at SIGTERM without answering what was taken."""
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -31,6 +31,8 @@
     "leaving_ignored": "upstream_says_it_leaves",
     "leaving_forgotten": "upstream_says_it_leaves",
     "rest_ignored": "upstream_rests",
+    "limit_ignored": "upstream_names_limit",
+    "limit_kept_by_each_vm": "upstream_names_limit",
 }
 
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -67,6 +67,7 @@
     keys: list[tuple[Millis, str]] = field(default_factory=list)
     rates: list[tuple[Millis, float]] = field(default_factory=list)
     evacuated: list[tuple[Millis, Millis, str]] = field(default_factory=list)
+    limits: list[tuple[Millis, str, float | None]] = field(default_factory=list)
 
     def disturbed(self, subjects: set[str], start: Millis, end: Millis) -> bool:
         """Return whether any of `subjects` was disturbed between two instants."""
@@ -107,6 +108,11 @@
         self.data_centre_by_instance[instance.id] = data_centre
         super().register(instance, data_centre, state)
 
+    def name_limit(self, instance: InstanceStandin, rate: float | None) -> None:
+        """Let an upstream name a rate limit in its answers, or none."""
+        self.history.limits.append((now(), instance.id, rate))
+        instance.rate_limit = rate
+
     def upstream_address(self, instance: InstanceStandin) -> str:
         """Return the proxy's address of an upstream."""
         return self._forward(instance.id, instance.address)
--- a/tests/steering/test_placement.py
+++ b/tests/steering/test_placement.py
@@ -205,3 +205,43 @@
         return placement.pick(candidates, 0.0) or candidates.upstreams[0]
 
     assert mean_duration(by_placement) < 0.5 * mean_duration(least_loaded)
+
+
+def limit(upstream, wait=0.0):
+    upstream.name_limit(2.0, 1_000_000.0)
+    upstream.set_limit_wait(wait)
+
+
+def test_requests_go_to_the_next_upstream_at_once_while_a_limit_is_spent():
+    upstream_table = make_upstream_table()
+    add_upstreams(upstream_table, {"n-a": 6})
+    placement = make_placement(upstream_table)
+    first, second = placement.candidates(make_request(), 100.0).upstreams[:2]
+    limit(first)
+    candidates = placement.candidates(make_request(), 100.0)
+    assert placement.pick(candidates, 0.0) is first
+    first.set_limit_wait(400.0)
+    assert placement.pick(candidates, 0.0) is second
+
+
+def test_upstream_with_a_limit_takes_no_candidate_from_an_object():
+    upstream_table = make_upstream_table()
+    add_upstreams(upstream_table, {"n-a": 6})
+    placement = make_placement(upstream_table)
+    before = placement.candidates(make_request(), 100.0).upstreams
+    limit(before[0], 400.0)
+    after = placement.candidates(make_request(), 100.0)
+    assert after.upstreams[: len(before)] == before
+    assert sum(state.rate_limit is None for state in after.upstreams) == len(before)
+    assert after.first_to_wait_for() is before[1]
+
+
+def test_limit_waits_are_empty_while_an_upstream_has_no_limit():
+    upstream_table = make_upstream_table()
+    add_upstreams(upstream_table, {"n-a": 2})
+    placement = make_placement(upstream_table)
+    first, second = upstream_table.of_service("ledger")
+    limit(first, 400.0)
+    assert placement.limit_waits(make_request()) == []
+    limit(second, 900.0)
+    assert placement.limit_waits(make_request()) == [400.0, 900.0]
