Trace the planned-stop test that failed at times, and replace its check

Cause: the test. Its caller opened a connection to see that the VM accepts any, closed it and opened another one; in between the VM had stopped listening, and a refused connection counted as a request without an answer.

A request on an accepted connection must get a complete answer, as before; each caller must end with a refused connection, not before the time for which a leaving VM accepts them. So it asks for more than before.

--- a/tests/entry/test_process.py
+++ b/tests/entry/test_process.py
@@ -1,5 +1,6 @@
 """Test running entry VMs with stand-ins of the platform."""
 
+import itertools
 import signal
 import time
 
@@ -7,7 +8,9 @@
 import pytest
 from gevent import socket
 
+from lagoonlatch.entry.process import ACCEPT_WHILE_LEAVING
 from lagoonlatch.standins.entry_fleet import (
+    HOST,
     KEY,
     EntryFleet,
     ask,
@@ -36,6 +39,29 @@
         yield running
 
 
+def ask_once(vm, request_id):
+    """Send a request; return its status, 0 if an accepted connection has no answer.
+
+    Raises
+    ------
+    ConnectionRefusedError
+        If the VM doesn't accept the connection.
+    """
+    head = f"GET /look/1 HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {request_id}\r\n"
+    head += f"Authorization: Token {KEY}\r\nConnection: close\r\n\r\n"
+    address = ("127.0.0.1", vm.caller_port)
+    with socket.create_connection(address, timeout=1.0) as sock:
+        sock.settimeout(5.0)
+        answer = b""
+        try:
+            sock.sendall(head.encode())
+            while chunk := sock.recv(65_536):
+                answer += chunk
+        except OSError:
+            return 0
+    return int(answer[9:12]) if b"\r\n\r\n" in answer else 0
+
+
 def eventually(condition, seconds=WAIT_SECONDS):
     with gevent.Timeout(seconds, False):
         while not condition():
@@ -88,19 +114,27 @@
 def test_planned_stop_answers_all_requests_and_ends_in_time(fleet):
     vm = fleet.vms_by_id["vm-0"]
     statuses = []
+    refused_at = []
 
-    def send_requests():
-        while accepts_connections(vm):
-            statuses.append(ask(vm, f"s-{len(statuses)}"))
+    def send_requests(caller):
+        for number in itertools.count():
+            try:
+                statuses.append(ask_once(vm, f"s-{caller}-{number}"))
+            except ConnectionRefusedError:
+                refused_at.append(time.monotonic())
+                return
 
-    callers = [gevent.spawn(send_requests) for _ in range(3)]
+    callers = [gevent.spawn(send_requests, caller) for caller in range(3)]
     gevent.sleep(0.3)
     fleet.signal("vm-0", signal.SIGTERM)
+    stopped_at = time.monotonic()
     assert eventually(lambda: not is_ready(vm), 1.0)
     assert ask(vm, "late") == 200
     assert eventually(lambda: vm.process.poll() is not None, 6.0)
-    gevent.joinall(callers, timeout=5.0)
+    gevent.joinall(callers, timeout=5.0, raise_error=True)
     assert vm.process.returncode == 0
+    assert len(refused_at) == len(callers)
+    assert min(refused_at) >= stopped_at + ACCEPT_WHILE_LEAVING / 1_000.0
     assert set(statuses) <= {200, 503}
     assert statuses.count(200) > 10
 
@@ -272,14 +306,6 @@
     assert sum(instance.runs_by_request.values()) == before
 
 
-def accepts_connections(vm):
-    try:
-        socket.create_connection(("127.0.0.1", vm.caller_port)).close()
-    except ConnectionRefusedError:
-        return False
-    return True
-
-
 def test_few_vms_watch_and_changes_reach_all_vms_when_watchers_are_killed():
     with EntryFleet(vms=8) as fleet:
         gevent.sleep(4.0)
