Answer requests that a leaving VM accepts before it ends

What callers would see (a report of other operators): requests that came late in the grace of a planned stop were taken and passed on, and cut with no answer when the process ended.

Cause: a request that a leaving VM accepts up to 3 s after SIGTERM could take until its own deadline, which may be later than the end of the VM.

Change: the deadline of a request that is accepted after SIGTERM is at most 100 ms before the VM ends. Its upstream is told so; what doesn't end in time gets a final answer (504 if it may have run, else 503), and what can't be done in the time left is refused at once as any other request.

Requests that were accepted before SIGTERM keep their deadline.

--- a/lagoonlatch/entry/handling.py
+++ b/lagoonlatch/entry/handling.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -190,8 +191,13 @@
         self._clock = clock
         self._splitter = Splitter()
         self._is_closed = False
+        self._ends_at: Millis = math.inf
         self._has_waiting_requests = Event()
 
+    def set_end(self, at: Millis) -> None:
+        """Answer all further requests before `at`, when the VM ends."""
+        self._ends_at = at
+
     def close(self) -> None:
         """Refuse further requests, since the VM is shutting down."""
         self._is_closed = True
@@ -248,7 +254,7 @@
             organisation=organisation,
             service=self._splitter.choose(route),
             regions=_allowed_regions(route, organisation),
-            deadline=request.received + timeout,
+            deadline=min(request.received + timeout, self._ends_at),
             fingerprint=_fingerprint(request, organisation),
         )
         remaining_quarantine = self._quarantine.refused_for(context.fingerprint)
--- a/lagoonlatch/entry/process.py
+++ b/lagoonlatch/entry/process.py
@@ -101,6 +101,10 @@
 STOP_MARGIN: Millis = 700.0
 """A leaving VM finishes this long before it would be killed."""
 
+ANSWER_MARGIN: Millis = 100.0
+"""Requests that a leaving VM accepts are given up this long before it ends, so that
+their callers get an answer."""
+
 PERIODIC_TASKS_INTERVAL: Millis = HEARTBEAT_INTERVAL
 """Interval of the short periodic tasks, which share one timer."""
 
@@ -489,13 +493,14 @@
     def _leave(self) -> None:
         """Leave the directory, answer the accepted requests and close connections."""
         started = self._clock.now()
+        end = started + self._settings.bounds.stop_grace - STOP_MARGIN
+        self._handler.set_end(end - ANSWER_MARGIN)
         emit(Stopping(connections=len(self._connections)))
         self._peers.announce_leaving()
         gevent.spawn(self._registration.deregister)
         gevent.sleep(ACCEPT_WHILE_LEAVING / MILLIS_PER_SECOND)
         self._handler.close()
         self._stop_listening()
-        end = started + self._settings.bounds.stop_grace - STOP_MARGIN
         while self._clock.now() < end:
             for connection in list(self._connections):
                 connection.close_if_idle()
--- a/tests/entry/test_process.py
+++ b/tests/entry/test_process.py
@@ -139,6 +139,24 @@
     assert statuses.count(200) > 10
 
 
+def test_request_taken_late_in_a_planned_stop_gets_an_answer(fleet):
+    vm = fleet.vms_by_id["vm-0"]
+    for instance in fleet.instances_by_id.values():
+        instance._work = 2_900.0
+    fleet.signal("vm-0", signal.SIGTERM)
+    gevent.sleep(2.8)
+    late = [
+        gevent.spawn(ask, vm, f"late-{number}", method, path)
+        for number in range(3)
+        for method, path in (("GET", "/look/1"), ("POST", "/book/1"))
+    ]
+    gevent.joinall(late, timeout=6.0)
+    assert vm.process.wait(timeout=2.0) == 0
+    statuses = [caller.value for caller in late]
+    assert 0 not in statuses
+    assert set(statuses) <= {200, 503, 504}
+
+
 def test_leaving_vm_refuses_late_callers_at_once(fleet):
     vm = fleet.vms_by_id["vm-0"]
     for instance in fleet.instances_by_id.values():
