Set no timer at a home VM while claims wait for slots only

Cause: found by reading. If the limit of an upstream had tokens but its slots were taken, the home VM looked every 5 ms whether it could offer one, as long as claims waited.

Change: the timer is set only while the limit has no token; slots that are freed are offered when they are. The timer is then set after each offer that leaves claims waiting. A wait of zero is stored as none, so that placement doesn't read the clock for it.

Result: test_home_vm_sets_no_timer_while_claims_wait_for_slots_only; the slots' and handling's tests pass. One test of handling had depended on chance (a random upstream's wait); it now has a home VM.

--- a/lagoonlatch/entry/slots.py
+++ b/lagoonlatch/entry/slots.py
@@ -319,7 +319,7 @@
         if known is not None:
             self._limiter.report_known(claim.upstream, known, age)
         answer = self._allocator.claim(claim)
-        if answer.limit_wait > 0.0:
+        if not answer.granted:
             self._offer_when_limit_allows(claim.upstream)
         return answer
 
@@ -328,7 +328,8 @@
         if upstream in self._upstreams_with_timed_offer:
             return
         wait = self._allocator.time_to_next_offer(upstream)
-        if wait is None:
+        if wait is None or wait <= 0.0:
+            # Without a wait, the claims wait for slots, which are offered when freed.
             return
         self._upstreams_with_timed_offer.add(upstream)
         delay = max(wait, MIN_OFFER_DELAY) / MILLIS_PER_SECOND
@@ -337,7 +338,6 @@
     def _offer_after_wait(self, upstream: str) -> None:
         self._upstreams_with_timed_offer.discard(upstream)
         self._offer_slots(upstream)
-        self._offer_when_limit_allows(upstream)
 
     def _request_verdict(
         self,
@@ -417,6 +417,7 @@
                 self.handle_offer(offer)
             else:
                 self._send_offer(vm, offer)
+        self._offer_when_limit_allows(upstream)
 
     def _send_decline(self, upstream: str, ticket: int) -> None:
         state = self._upstream_table.find(upstream)
--- a/lagoonlatch/steering/slots.py
+++ b/lagoonlatch/steering/slots.py
@@ -272,7 +272,12 @@
         return chosen
 
     def time_to_next_offer(self, upstream_id: str) -> Millis | None:
-        """Return when the rate limit allows the next offer; None if no claim waits."""
+        """Return when the rate limit allows the next offer.
+
+        None if the upstream has no limit or no claim waits.
+        """
+        if self._rate_limiter.limit_of(upstream_id) is None:
+            return None
         allocation = self._current_allocation(upstream_id, self._clock.now())
         if not allocation.refused_claim_by_request:
             return None
--- a/lagoonlatch/steering/upstreams.py
+++ b/lagoonlatch/steering/upstreams.py
@@ -243,7 +243,7 @@
     def set_limit_wait(self, duration: Millis) -> None:
         """Record that the limit allows the next request of any VM after `duration`."""
         now = self._clock.now()
-        self._limit_spent_until = now + duration
+        self._limit_spent_until = now + duration if duration > 0.0 else -math.inf
         self._claim_again_at = now + min(duration, MAX_LIMIT_WAIT)
 
     def limit_wait(self) -> Millis:
--- a/tests/entry/test_handling.py
+++ b/tests/entry/test_handling.py
@@ -35,6 +35,7 @@
     make_service,
     make_upstream_table,
 )
+from tests.steering.test_homes import make_vm
 
 
 def make_answer(status=200, body=b"hello"):
@@ -432,7 +433,10 @@
 
 
 def limit_all(harness, wait, names=("u1", "u2", "u3")):
-    """Let upstreams name a limit that is spent for `wait`."""
+    """Let upstreams, of which this VM is the home, name a limit that is spent."""
+    homes = SlotHomes(lambda: [make_vm("vm", "n-a")], {"n-a": "north"}, harness.clock)
+    homes.refresh()
+    harness.slots._homes = homes
     for name in names:
         state = harness.upstream_table.find(name)
         state.name_limit(0.5, harness.clock.now())
--- a/tests/entry/test_slots.py
+++ b/tests/entry/test_slots.py
@@ -308,3 +308,17 @@
     assert net.vm_by_id[vm].claim_check(net.state(vm))
     assert not net.vm_by_id[vm].claim_check(net.state(vm))
     assert net.state(vm).in_flight == 0
+
+
+def test_home_vm_sets_no_timer_while_claims_wait_for_slots_only():
+    net = Network(slots=1)
+    vm, other = net.others()
+    name_limit(net, vm, rate=50.0)
+    gevent.sleep(0.1)
+    assert net.claim(vm)
+    gevent.sleep(0.1)
+    assert not net.claim(other)
+    assert not net.vm_by_id[net.home()]._upstreams_with_timed_offer
+    net.vm_by_id[vm].release(net.state(vm))
+    gevent.sleep(0.02)
+    assert net.offered_vms == [other]
--- a/tests/steering/limited_fleet.py
+++ b/tests/steering/limited_fleet.py
@@ -429,7 +429,7 @@
             if limit is not None:
                 target.limiter.report_known(UPSTREAM, limit, age)
             verdict = target.allocator.claim(claim)
-            if verdict.limit_wait > 0.0:
+            if not verdict.granted:
                 self._offer_when_limit_allows(target)
             self._send(target, vm.record.id, lambda _: settle(verdict))
 
@@ -522,6 +522,7 @@
     def _offer(self, home: _Vm) -> None:
         for name, ticket in home.allocator.offer_free_slots(UPSTREAM):
             self._send(home, name, lambda vm, t=ticket: self._take_offer(vm, t))
+        self._offer_when_limit_allows(home)
 
     def _take_offer(self, vm: _Vm, ticket: int) -> None:
         vm.state.set_limit_wait(0.0)
@@ -539,14 +540,13 @@
 
     def _offer_when_limit_allows(self, home: _Vm) -> None:
         wait = home.allocator.time_to_next_offer(UPSTREAM)
-        if home.has_timed_offer or wait is None:
+        if home.has_timed_offer or wait is None or wait <= 0.0:
             return
         home.has_timed_offer = True
 
         def fire() -> None:
             home.has_timed_offer = False
             self._offer(home)
-            self._offer_when_limit_allows(home)
 
         self.after(max(wait, 5.0), lambda: self._deliver(home, fire))
 
