--- a/lagoonlatch/steering/rate_authority.py
+++ b/lagoonlatch/steering/rate_authority.py
@@ -26,7 +26,7 @@
 
 MAX_FACTS_AGE: Millis = 2_000.0
 """Age of the knowledge of the store beyond which another VM may have become the first
-one. An entry lasts at least 3 s after its last renewal."""
+one: the lease of an entry that can't be renewed lasts at least 3 s longer."""
 
 SETTLE_TIME: Millis = MAX_FACTS_AGE + 500.0
 """Time after which all VMs whose knowledge is recent know a new entry."""
