End an upstream's limit only with an answer to a request that it served

Cause: found by reading. Any answer without the field ended the limit, so that an upstream that names it in served answers, but not in a 503 of its full queue or a 500, lost its limit until the next answer named it.

Change: only an answer below 500 that doesn't say that the request has not run ends a limit.

Result: test_unreadable_limit_or_refusal_does_not_end_the_known_limit, three of its four cases failed before (500, 503 and 429 with Not-Run).

--- a/lagoonlatch/entry/notices.py
+++ b/lagoonlatch/entry/notices.py
@@ -18,6 +18,8 @@
 from lagoonlatch.steering.rate_limits import NamedLimit
 from lagoonlatch.steering.upstreams import UpstreamState, UpstreamTable
 
+_FIRST_SERVER_ERROR = 500
+
 
 class UpstreamNotices:
     """Applies the notices that upstreams put into any of their answers.
@@ -64,9 +66,11 @@
         if fields.rest > 0.0:
             upstream.set_rest(fields.rest)
             emit(UpstreamResting(upstream=record.id, rest_ms=round(fields.rest)))
-        # A field that can't be read doesn't show that the upstream has no limit.
-        is_known = fields.rate_limit is not None or not (fields.odd or is_check)
-        if is_known:
+        # A refusal or failure without the field, or a field that can't be read, doesn't
+        # show that the upstream has no limit.
+        is_served = answer.status < _FIRST_SERVER_ERROR and not fields.not_run
+        ends_limit = is_served and not (is_check or fields.odd)
+        if fields.rate_limit is not None or ends_limit:
             self._update_limit(upstream, fields.rate_limit, sent_at)
         if not fields.is_leaving:
             return
--- a/tests/entry/test_attempts.py
+++ b/tests/entry/test_attempts.py
@@ -206,11 +206,20 @@
     assert harness.limit_reports[-1][2]
 
 
-def test_unreadable_limit_does_not_end_the_known_one(harness):
+@pytest.mark.parametrize(
+    "answer",
+    [
+        (200, [(b"server-limit", b"much")]),
+        (500, []),
+        (503, [(b"not-run", b"1")]),
+        (429, [(b"not-run", b"1")]),
+    ],
+)
+def test_unreadable_limit_or_refusal_does_not_end_the_known_limit(harness, answer):
     harness.answer = (200, [(b"server-limit", b"2.5")])
     harness.run()
     harness.clock.advance(1.0)
-    harness.answer = (200, [(b"server-limit", b"much")])
+    harness.answer = answer
     harness.run()
     assert harness.upstream.rate_limit == 2.5
 
