--- a/lagoonlatch/entry/events.py
+++ b/lagoonlatch/entry/events.py
@@ -274,6 +274,16 @@
     revision: int
 
 
+@log_event(logging.WARNING)
+class SnapshotIgnored(LogEvent):
+    """A snapshot of the store counts as older than what this VM knows."""
+
+    era: int
+    revision: int
+    known_era: int
+    known_revision: int
+
+
 @log_event(logging.WARNING)
 class WatchSilent(LogEvent):
     """The watch of this VM has missed changes of the store that other VMs know."""
--- a/lagoonlatch/entry/process.py
+++ b/lagoonlatch/entry/process.py
@@ -332,6 +332,9 @@
         add = self._metrics.add_gauge
         add("configuration_version", "Version in force", self._configuration_version)
         add("store_revision", "Up to which facts are known", self._store_revision)
+        add(
+            "store_era", "Latest era that the store has stated", lambda: self._store.era
+        )
         add("store_failing_milliseconds", "0 if it answers", self._sync.failing_for)
         add(
             "facts_age_milliseconds",
--- a/lagoonlatch/entry/sync.py
+++ b/lagoonlatch/entry/sync.py
@@ -14,6 +14,7 @@
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
 from lagoonlatch.entry.events import (
+    SnapshotIgnored,
     StandingChanged,
     StoreLost,
     StoreRegained,
@@ -186,6 +187,15 @@
             return snapshot.failure()
         self._note_success()
         found = snapshot.unwrap()
+        if found.revision < self._replica.revision:
+            emit(
+                SnapshotIgnored(
+                    era=found.era,
+                    revision=found.revision,
+                    known_era=0,
+                    known_revision=self._replica.revision,
+                )
+            )
         self._replica.apply_snapshot(found.entries, found.revision)
         self._replica.note_latest_revisions(found.revision, 0)
         self._needs_snapshot = False
--- a/lagoonlatch/platform/connections.py
+++ b/lagoonlatch/platform/connections.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import contextlib
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
 import gevent
 from gevent.local import local
@@ -28,10 +29,17 @@
 
 @dataclass(frozen=True)
 class Answer:
-    """A whole HTTP answer."""
+    """A whole HTTP answer.
+
+    Parameters
+    ----------
+    headers : mapping of str to str
+        Values by field name in lower case.
+    """
 
     status: int
     body: bytes
+    headers: Mapping[str, str] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
@@ -179,7 +187,8 @@
         deadline.start()
         try:
             response = self._client.request(method, path, body, JSON_HEADERS)
-            return Success(Answer(response.status_code, _read_whole(response)))
+            headers = {name.lower(): value for name, value in response.items()}
+            return Success(Answer(response.status_code, _read_whole(response), headers))
         except (OSError, HTTPParseError) as error:
             return self._failed(_describe(error))
         except gevent.Timeout as error:
--- a/lagoonlatch/platform/kv.py
+++ b/lagoonlatch/platform/kv.py
@@ -35,6 +35,9 @@
 _CONFLICT = 412
 _TURNED_AWAY = frozenset({403, 429, 503})
 
+_ERA_FIELD = "store-era"
+_MAX_ERA_DIGITS = 18
+
 M = TypeVar("M")
 
 Observer = Callable[[str, str, Millis], None]
@@ -60,10 +63,18 @@
 
 @dataclass(frozen=True)
 class Snapshot:
-    """Entries, and a revision whose later changes complete them."""
+    """Entries, and a revision whose later changes complete them.
+
+    Parameters
+    ----------
+    era : int
+        Number of times that the store was restored from a copy. Revisions of different
+        eras can't be compared.
+    """
 
     entries: tuple[Entry, ...]
     revision: int
+    era: int = 0
 
 
 @dataclass(frozen=True)
@@ -76,10 +87,13 @@
         Each change; a value of None says that the key was removed.
     revision : int
         Where to continue.
+    era : int
+        As in `Snapshot`.
     """
 
     changes: tuple[Change, ...]
     revision: int
+    era: int = 0
 
 
 @dataclass(frozen=True)
@@ -131,11 +145,17 @@
 
 
 class _Observed:
-    """Connections that tell of each call."""
+    """Connections that report each call and the store's era in each answer."""
 
-    def __init__(self, connections: Connections, observe: Observer) -> None:
+    def __init__(
+        self,
+        connections: Connections,
+        observe: Observer,
+        note_era: Callable[[int], None],
+    ) -> None:
         self._connections = connections
         self._observe = observe
+        self._note_era = note_era
 
     def call(
         self, method: str, path: str, body: bytes = b"", timeout: Millis | None = None
@@ -148,6 +168,8 @@
         )
         elapsed = (time.monotonic() - started) * MILLIS_PER_SECOND
         self._observe(_NAME_BY_CALL.get(name, name), result, elapsed)
+        if isinstance(outcome, Success):
+            self._note_era(_era_of(outcome.unwrap()) or 0)
         return outcome
 
     def interrupt(self) -> None:
@@ -166,12 +188,20 @@
         The store.
     observe : callable
         Is told each call's name, whether it was answered, and how long it took.
+
+    Attributes
+    ----------
+    era : int
+        The latest era of the store in any answer.
     """
 
     def __init__(self, endpoint: Endpoint, observe: Observer = _ignore) -> None:
+        self.era = 0
         self._endpoint = endpoint
         self._observe = observe
-        self._connections = _Observed(Connections(endpoint, CALL_TIMEOUT), observe)
+        self._connections = _Observed(
+            Connections(endpoint, CALL_TIMEOUT), observe, self._note_era
+        )
 
     @classmethod
     def from_address(cls, address: str, observe: Observer = _ignore) -> KeyValueStore:
@@ -182,25 +212,32 @@
         """Return all entries whose keys begin with `prefix`."""
         entries: list[Entry] = []
         revision = 0
+        era: int | None = None
         after = ""
         while True:
-            page = self._get(
-                "/kv-range", _Range, {"path_prefix": prefix, "after": after}
+            outcome = _get(
+                self._connections, "/kv-range", {"path_prefix": prefix, "after": after}
             )
+            page = _read_read(outcome, _Range)
             if isinstance(page, Failure):
                 return page
-            found = page.unwrap()
+            found, page_era = page.unwrap(), _era_of(outcome.unwrap())
+            if era not in (None, page_era):
+                return Failure(StoreUnavailable("restored while it was read"))
+            era = page_era
             # Later pages may hold later changes; the first page's revision is the
             # one from which a watch misses none.
             revision = revision or found.store_revision
             entries.extend(Entry(i.key, i.value, i.rev) for i in found.items)
             if not found.has_more or not found.items:
-                return Success(Snapshot(tuple(entries), revision))
+                return Success(Snapshot(tuple(entries), revision, era))
             after = found.items[-1].key
 
     def open_watch(self, prefix: str, longest_wait: Millis) -> Watch:
         """Return a watch of `prefix`, whose calls wait up to `longest_wait`."""
-        return Watch(self._endpoint, prefix, longest_wait, self._observe)
+        return Watch(
+            self._endpoint, prefix, longest_wait, self._observe, self._note_era
+        )
 
     def put(self, key: str, value: bytes, lease: int = 0) -> Result[int, StoreError]:
         """Write `value` and return its revision."""
@@ -249,10 +286,8 @@
             return Success(None)
         return _read_write(outcome, dict, lease).map(lambda _: None)
 
-    def _get(
-        self, path: str, kind: type[M], query: dict[str, str]
-    ) -> Result[M, StoreError]:
-        return _read_read(_get(self._connections, path, query), kind)
+    def _note_era(self, era: int) -> None:
+        self.era = max(self.era, era)
 
     def _transact(self, body: object, key: str, lease: int) -> Result[int, StoreError]:
         outcome = self._connections.call("POST", "/kv-txn", msgspec.json.encode(body))
@@ -265,11 +300,16 @@
     """Waits for changes under a prefix, on a connection of its own."""
 
     def __init__(
-        self, endpoint: Endpoint, prefix: str, longest_wait: Millis, observe: Observer
+        self,
+        endpoint: Endpoint,
+        prefix: str,
+        longest_wait: Millis,
+        observe: Observer,
+        note_era: Callable[[int], None],
     ) -> None:
         self._prefix = prefix
         connections = Connections(endpoint, longest_wait + WATCH_MARGIN, size=1)
-        self._connections = _Observed(connections, observe)
+        self._connections = _Observed(connections, observe, note_era)
 
     def wait_for_changes(
         self, revision: int, wait: Millis
@@ -286,7 +326,9 @@
             return Failure(HistoryGone())
         return _read_read(outcome, _Events).map(
             lambda found: Changes(
-                tuple(_change(item) for item in found.events), found.store_revision
+                tuple(_change(item) for item in found.events),
+                found.store_revision,
+                _era_of(outcome.unwrap()) or 0,
             )
         )
 
@@ -317,6 +359,13 @@
     return connections.call("GET", f"{path}?{text}", timeout=timeout)
 
 
+def _era_of(answer: Answer) -> int | None:
+    """Return the store's era in an answer, 0 if it has none; None if unreadable."""
+    text = answer.headers.get(_ERA_FIELD, "0")
+    is_readable = text.isascii() and text.isdigit() and len(text) <= _MAX_ERA_DIGITS
+    return int(text) if is_readable else None
+
+
 def _found(body: bytes, key: str) -> Entry | None:
     try:
         conflict = msgspec.json.decode(body, type=_Conflict)
@@ -336,6 +385,9 @@
     answer = outcome.unwrap()
     if answer.status != _OK:
         return Failure(StoreUnavailable(_describe(answer)))
+    if _era_of(answer) is None:
+        era = answer.headers[_ERA_FIELD]
+        return Failure(StoreUnavailable(f"unreadable answer: era {era!r}"))
     try:
         return Success(msgspec.json.decode(answer.body, type=kind))
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
--- a/lagoonlatch/standins/kv_store.py
+++ b/lagoonlatch/standins/kv_store.py
@@ -1,13 +1,14 @@
 """A stand-in of the platform's key-value store, spoken to over HTTP.
 
-Faults are set from outside: `refuse_with` answers every call with a status, and
-`forget_history` drops the changes so far as a store does that compacts.
+Faults are set from outside: `refuse_with` answers every call with a status,
+`forget_history` drops the changes so far as a store does that compacts, and `restore`
+replaces the content by an earlier copy.
 """
 
 from __future__ import annotations
 
 import base64
-import itertools
+import copy
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any
@@ -47,6 +48,16 @@
     keys: set[str] = field(default_factory=set)
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """The content of the store at one instant."""
+
+    items_by_key: dict[str, _Item]
+    leases_by_id: dict[int, _Lease]
+    revision: int
+    next_lease: int
+
+
 class KvStoreStandin:
     """The store; `serve` listens, `put` and `remove` act as operators and upstreams.
 
@@ -56,6 +67,8 @@
         Status of every answer while it is set.
     calls : list of str
         Method and path of each call so far.
+    era : int
+        Number of restores so far, plus 1.
     """
 
     def __init__(self, clock: Clock | None = None) -> None:
@@ -65,8 +78,9 @@
         self._history: list[dict[str, Any]] = []
         self._oldest = 1
         self._revision = 1
-        self._lease_ids = itertools.count(100)
+        self._next_lease = 100
         self._changed = Event()
+        self.era = 1
         self.refuse_with: int | None = None
         self.calls: list[str] = []
 
@@ -99,6 +113,33 @@
         self._history.clear()
         self._oldest = self._revision + 1
 
+    def take_copy(self) -> StoreCopy:
+        """Return a copy of the content, for `restore`."""
+        return StoreCopy(
+            items_by_key=copy.deepcopy(self._items_by_key),
+            leases_by_id=copy.deepcopy(self._leases_by_id),
+            revision=self._revision,
+            next_lease=self._next_lease,
+        )
+
+    def restore(self, stored: StoreCopy) -> None:
+        """Replace the content by a copy.
+
+        Later revisions and leases are given out again. Waiting watches are cut, and the
+        leases of the copy are renewed.
+        """
+        stored = copy.deepcopy(stored)
+        self._items_by_key = stored.items_by_key
+        self._leases_by_id = stored.leases_by_id
+        self._revision = stored.revision
+        self._next_lease = stored.next_lease
+        for lease in self._leases_by_id.values():
+            lease.ends = self._clock.now() + lease.duration
+        self.forget_history()
+        self.era += 1
+        self._changed.set()
+        self._changed.clear()
+
     def keys(self) -> list[str]:
         """Return all keys, sorted."""
         self._end_leases()
@@ -139,10 +180,12 @@
         body = environ["wsgi.input"].read()
         status, answer = self._answer(method, path, environ["QUERY_STRING"], body)
         data = msgspec.json.encode(answer)
-        start(
-            f"{status} {status}",
-            [("Content-Type", "application/json"), ("Content-Length", str(len(data)))],
-        )
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(data))),
+            ("Store-Era", str(self.era)),
+        ]
+        start(f"{status} {status}", headers)
         return [data]
 
     def _answer(self, method: str, path: str, query: str, body: bytes) -> Reply:
@@ -176,8 +219,10 @@
     def _watch(self, query: dict[str, str], _body: Any, _rest: str) -> Reply:
         prefix, after = query.get("path_prefix", ""), int(query["after"])
         deadline = self._clock.now() + float(query["wait_ms"])
+        era = self.era
         while True:
-            if after + 1 < self._oldest:
+            is_known = self._oldest <= after + 1 <= self._revision + 1
+            if not is_known or self.era != era:
                 return 410, {}
             self._end_leases()
             events = [
@@ -213,7 +258,8 @@
     @_CALLS.register("POST kv-lease")
     def _grant(self, _query: dict[str, str], body: Any, _rest: str) -> Reply:
         duration = body["ttl_s_time"] * MILLIS_PER_SECOND
-        lease = next(self._lease_ids)
+        lease = self._next_lease
+        self._next_lease += 1
         self._leases_by_id[lease] = _Lease(duration, self._clock.now() + duration)
         return 200, {"lease": lease, "ttl_s_time": body["ttl_s_time"]}
 
--- a/tests/platform/test_kv.py
+++ b/tests/platform/test_kv.py
@@ -152,3 +152,46 @@
         assert took < 200.0 + 2 * WATCH_MARGIN
     finally:
         server.stop(timeout=0.1)
+
+
+def test_answers_carry_the_era_of_the_store(standin, store):
+    standin.put("a", b"1")
+    stored = standin.take_copy()
+    standin.put("a", b"2")
+    standin.restore(stored)
+    snapshot = store.read_prefix("").unwrap()
+    assert (snapshot.era, store.era) == (2, 2)
+    assert [entry.value for entry in snapshot.entries] == [b"1"]
+    assert snapshot.revision == stored.revision
+    changes = store.open_watch("", 100.0).wait_for_changes(snapshot.revision, 50.0)
+    assert changes.unwrap().era == 2
+
+
+def test_a_watch_from_a_revision_that_the_restored_store_lacks_says_so(standin, store):
+    stored = standin.take_copy()
+    revision = standin.put("a", b"1")
+    standin.restore(stored)
+    watch = store.open_watch("", 1_000.0)
+    assert watch.wait_for_changes(revision, 1_000.0).failure() == HistoryGone()
+
+
+def test_pages_of_two_eras_are_no_snapshot(standin, store):
+    for number in range(600):
+        standin.put(f"a/{number:05}", b"x")
+    stored, show = standin.take_copy(), standin._show
+
+    def show_and_restore(key):
+        if key == "a/00499" and standin.era == 1:
+            gevent.spawn(standin.restore, stored)
+        return show(key)
+
+    standin._show = show_and_restore
+    assert isinstance(store.read_prefix("a/").failure(), StoreUnavailable)
+    assert store.read_prefix("a/").unwrap().era == 2
+
+
+@pytest.mark.parametrize("era", ["two", "-1", "1.5", "٣", "9" * 30])
+def test_an_answer_with_an_unreadable_era_is_no_answer(standin, store, era):
+    standin.era = era.encode().decode("latin-1")
+    reason = store.read_prefix("").failure().reason
+    assert "unreadable answer: era" in reason
