--- a/tests/entry/test_malformed_entries.py
+++ b/tests/entry/test_malformed_entries.py
@@ -12,7 +12,9 @@
 from lagoonlatch.entry.facts import Facts
 from lagoonlatch.platform.kv import Change
 from lagoonlatch.platform.registrations import ROSTER_PREFIX, VM_PREFIX
+from lagoonlatch.standins.entry_fleet import EntryFleet, ask
 from lagoonlatch.standins.manual_clock import ManualClock
+from tests.entry.test_process import eventually
 from tests.steering.samples import make_upstream_table
 
 ROUTE = {
@@ -129,3 +131,38 @@
     malformed = json.dumps(UPSTREAM | {"slots": "many", "born": None}).encode()
     facts.apply_changes([Change("servers/i-2", malformed, 2)])
     assert facts.fleet.ids() == {"i-1"}
+
+
+NESTING = 100_000
+
+
+def upstream_with(field, text):
+    """Return an upstream's entry in which the JSON value of a field is `text`."""
+    document = json.dumps({**UPSTREAM, field: "replaced"})
+    return document.replace('"replaced"', text).encode()
+
+
+ODD_UPSTREAMS = {
+    "nested lists": upstream_with("x", "[" * NESTING + "]" * NESTING),
+    "nested objects": upstream_with("x", '{"x":' * NESTING + "0" + "}" * NESTING),
+    "number too large": upstream_with("born", "1" + "0" * 400),
+    "port out of range": upstream_with("addr", '"127.0.0.1:99999"'),
+    "port in another script": upstream_with("addr", '"127.0.0.1:²"'),
+    "host that is no address": upstream_with("addr", f'"{"x" * 100}:80"'),
+    "too many slots": upstream_with("slots", "1" + "0" * 400),
+}
+
+
+def test_one_odd_entry_of_another_writer_ends_no_vm():
+    with EntryFleet(vms=2) as fleet:
+        for number, value in enumerate(ODD_UPSTREAMS.values()):
+            for prefix in ("servers/", VM_PREFIX, ROSTER_PREFIX):
+                fleet.store.put(f"{prefix}odd-{number}", value)
+        fleet.configure(keys=("later",))
+        fields = {"Authorization": "Token later"}
+        for vm in fleet.vms_by_id.values():
+            assert eventually(lambda vm=vm: ask(vm, "x", **fields) == 200)
+        for vm in fleet.vms_by_id.values():
+            statuses = [ask(vm, f"{vm.id}-{n}", **fields) for n in range(40)]
+            assert set(statuses) == {200}
+            assert vm.process.poll() is None
