Let one odd entry of the store cost that entry only

Another writer's entry among those of the upstreams ended every VM, again after each restart: RecursionError of the JSON decoder for one that is nested deeply, OverflowError for a number too large; an entry of a VM whose peer address has no port or one out of range ended the periodic tasks the same way (ValueError of Endpoint.from_address, OverflowError of sendto).

Cause: the decoders caught syntax and type errors only, and took numbers and addresses that later code can't use. An error anywhere in the application of an entry ended the task that follows the store.

Decoders now take any bytes to a record within stated bounds (IP address, port, slots, times, 64-bit numbers) or to a failure, and an error while an entry is applied costs that entry. Both are logged once until the entry is usable or removed, and counted (entries_odd). An unreadable roster line, which counted as a VM of no region, is logged and not counted.

The sample of test_vm_entries_are_added_and_removed had the address 'a:1', which is no IP address; it has one now.

--- a/lagoonlatch/entry/events.py
+++ b/lagoonlatch/entry/events.py
@@ -251,6 +251,21 @@
     why: str
 
 
+@log_event(logging.WARNING)
+class RosterEntryOdd(LogEvent):
+    """An entry in the store does not describe a VM of the roster."""
+
+    why: str
+
+
+@log_event(logging.ERROR)
+class EntryFailed(LogEvent):
+    """A defect of this program kept an entry of the store from being applied."""
+
+    entry: str
+    why: str
+
+
 @log_event(logging.WARNING)
 class StoreLost(LogEvent):
     """A call to the store has failed; its contents are known up to `revision`."""
--- a/lagoonlatch/entry/facts.py
+++ b/lagoonlatch/entry/facts.py
@@ -10,9 +10,11 @@
 from lagoonlatch.entry.events import (
     ConfigurationInForce,
     ConfigurationUnreadable,
+    EntryFailed,
     EvacuationsChanged,
     FactsRead,
     LogEvent,
+    RosterEntryOdd,
     UpstreamEntryOdd,
     UpstreamGone,
     UpstreamHeld,
@@ -82,6 +84,7 @@
         self._hold_until: Millis = 0.0
         self._current_at: Millis = clock.now()
         self._held_ids: set[str] = set()
+        self._odd_keys: set[str] = set()
 
     def add_rules_listener(self, listener: Callable[[TrafficRules], None]) -> None:
         """Call `listener` with each new configuration."""
@@ -152,6 +155,10 @@
         """Return how many upstreams are held although their entries are gone."""
         return len(self._held_ids)
 
+    def odd_count(self) -> int:
+        """Return how many entries can't be read or applied."""
+        return len(self._odd_keys)
+
     def remove_missing_upstreams(self) -> None:
         """Remove the held upstreams once the hold time is over."""
         if self._held_ids and self._clock.now() >= self._hold_until:
@@ -165,19 +172,35 @@
         if known is not None and known.revision >= entry.revision:
             return
         self._entry_by_key[key] = entry
+        try:
+            odd = self._apply_value(key, value)
+        except Exception as error:
+            # Any exception: one entry must not end the task that follows the store.
+            odd = EntryFailed(entry=key, why=repr(error))
+        if odd is None:
+            self._odd_keys.discard(key)
+        elif key not in self._odd_keys:
+            # An entry that is written again at intervals is logged once.
+            self._odd_keys.add(key)
+            emit(odd)
+
+    def _apply_value(self, key: str, value: bytes) -> LogEvent | None:
+        """Apply the value of an entry; return an event if it can't be read."""
         if key == CONFIGURATION_KEY:
-            self._update_rules(value)
-        elif (data_centre := evacuated_data_centre(key)) is not None:
+            return self._update_rules(value)
+        if (data_centre := evacuated_data_centre(key)) is not None:
             self._set_evacuated(self._evacuated_data_centres | {data_centre})
         elif key.startswith(UPSTREAM_PREFIX):
-            self._update_upstream(key, value)
+            return self._update_upstream(key, value)
         elif key.startswith(VM_PREFIX):
-            self._update_vm(key, value)
+            return self._update_vm(key, value)
         elif key.startswith(ROSTER_PREFIX):
-            self._update_roster(key.removeprefix(ROSTER_PREFIX), decode_roster(value))
+            return self._update_roster(key, value)
+        return None
 
     def _remove_entry(self, key: str) -> None:
         self._entry_by_key.pop(key, None)
+        self._odd_keys.discard(key)
         if (data_centre := evacuated_data_centre(key)) is not None:
             self._set_evacuated(self._evacuated_data_centres - {data_centre})
         elif key.startswith(UPSTREAM_PREFIX):
@@ -198,12 +221,17 @@
             self.roster.pop(key.removeprefix(ROSTER_PREFIX), None)
             self._roster_has_changed = True
 
-    def _update_roster(self, vm: str, data_centre: str) -> None:
+    def _update_roster(self, key: str, value: bytes) -> LogEvent | None:
+        decoded = decode_roster(key, value)
+        if isinstance(decoded, Failure):
+            return RosterEntryOdd(why=decoded.failure())
+        vm, data_centre = key.removeprefix(ROSTER_PREFIX), decoded.unwrap()
         # A VM writes its data centre at each start; the roster's listeners are only
         # notified if it has changed.
         if self.roster.get(vm) != data_centre:
             self.roster[vm] = data_centre
             self._roster_has_changed = True
+        return None
 
     def _notify_listeners(self) -> None:
         """Call the listeners once an update, since each call rebuilds lists."""
@@ -217,14 +245,13 @@
         for listener in self._roster_listeners:
             listener(self.roster)
 
-    def _update_rules(self, value: bytes) -> None:
+    def _update_rules(self, value: bytes) -> LogEvent | None:
         decoded = decode_configuration(value)
         if isinstance(decoded, Failure):
-            emit(ConfigurationUnreadable(why=decoded.failure()))
-            return
+            return ConfigurationUnreadable(why=decoded.failure())
         rules = decoded.unwrap()
         if self.rules is not None and rules.version <= self.rules.version:
-            return
+            return None
         self.rules = rules
         self.fleet.configure(rules.services_by_id)
         emit(
@@ -236,13 +263,14 @@
         )
         for listener in self._rules_listeners:
             listener(rules)
+        return None
 
     def _set_evacuated(self, data_centres: set[str]) -> None:
         self._evacuated_data_centres = data_centres
         self.fleet.evacuate(frozenset(data_centres))
         emit(EvacuationsChanged(data_centres=",".join(sorted(data_centres))))
 
-    def _update_upstream(self, key: str, value: bytes) -> None:
+    def _update_upstream(self, key: str, value: bytes) -> LogEvent | None:
         decoded = decode_upstream(key, value)
         upstream_id = key.removeprefix(UPSTREAM_PREFIX)
         self._held_ids.discard(upstream_id)
@@ -258,9 +286,9 @@
                     cold_ms=round(record.cold_left),
                 )
             )
-            return
-        emit(UpstreamEntryOdd(upstream=upstream_id, why=decoded.failure()))
+            return None
         self._drop_upstream(upstream_id)
+        return UpstreamEntryOdd(upstream=upstream_id, why=decoded.failure())
 
     def _drop_upstream(self, upstream_id: str) -> None:
         if self.fleet.find(upstream_id) is None:
@@ -270,11 +298,10 @@
         for listener in self._upstream_gone_listeners:
             listener(upstream_id)
 
-    def _update_vm(self, key: str, value: bytes) -> None:
+    def _update_vm(self, key: str, value: bytes) -> LogEvent | None:
         decoded = decode_vm(key, value)
         if isinstance(decoded, Failure):
-            emit(VmEntryOdd(why=decoded.failure()))
-            return
+            return VmEntryOdd(why=decoded.failure())
         record = decoded.unwrap()
         self.vms_by_id[record.id] = record
         self.known_vms_by_id[record.id] = record
@@ -282,6 +309,7 @@
         self._log_change(
             VmKnown(subject=record.id, ready=record.is_ready, run=record.run)
         )
+        return None
 
     def _log_change(self, event: LogEvent) -> None:
         """Log a fact, unless it belongs to the first snapshot, logged as one event."""
--- a/lagoonlatch/entry/process.py
+++ b/lagoonlatch/entry/process.py
@@ -356,6 +356,11 @@
             "Used though their entries are gone, after an outage",
             self._facts.held_count,
         )
+        add(
+            "entries_odd",
+            "Entries of the store that can't be read or applied",
+            self._facts.odd_count,
+        )
         add("upstreams", "Upstreams known", lambda: len(self._upstream_table.ids()))
         add(
             "upstreams_resting",
--- a/lagoonlatch/platform/connections.py
+++ b/lagoonlatch/platform/connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+from collections import defaultdict
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
@@ -187,8 +188,8 @@
         deadline.start()
         try:
             response = self._client.request(method, path, body, JSON_HEADERS)
-            headers = {name.lower(): value for name, value in response.items()}
-            return Success(Answer(response.status_code, _read_whole(response), headers))
+            body = _read_whole(response)
+            return Success(Answer(response.status_code, body, _headers_of(response)))
         except (OSError, HTTPParseError) as error:
             return self._failed(_describe(error))
         except gevent.Timeout as error:
@@ -212,6 +213,14 @@
         self._client.close()
 
 
+def _headers_of(response: HTTPSocketPoolResponse) -> dict[str, str]:
+    """Return the values by field name in lower case; those of one field are joined."""
+    values_by_name: dict[str, list[str]] = defaultdict(list)
+    for name, value in response.items():
+        values_by_name[name.lower()].append(value)
+    return {name: ", ".join(values) for name, values in values_by_name.items()}
+
+
 def _read_whole(response: HTTPSocketPoolResponse) -> bytes:
     return bytes(response.read())
 
--- a/lagoonlatch/platform/kv.py
+++ b/lagoonlatch/platform/kv.py
@@ -12,6 +12,7 @@
 from returns.result import Failure, Result, Success
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Millis
+from lagoonlatch.decoding import CONVERSION_ERRORS
 from lagoonlatch.platform.connections import Answer, CallFailed, Connections
 from lagoonlatch.platform.endpoint import Endpoint
 from lagoonlatch.platform.store import (
@@ -369,7 +370,7 @@
 def _found(body: bytes, key: str) -> Entry | None:
     try:
         conflict = msgspec.json.decode(body, type=_Conflict)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except CONVERSION_ERRORS:
         return None
     for item in conflict.items:
         if item is not None and item.key == key and item.rev:
@@ -390,7 +391,7 @@
         return Failure(StoreUnavailable(f"unreadable answer: era {era!r}"))
     try:
         return Success(msgspec.json.decode(answer.body, type=kind))
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except CONVERSION_ERRORS as error:
         return Failure(StoreUnavailable(f"unreadable answer: {error}"))
 
 
@@ -410,7 +411,7 @@
         return Failure(StoreOutcomeUnknown(_describe(answer)))
     try:
         return Success(msgspec.json.decode(answer.body or b"{}", type=kind))
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except CONVERSION_ERRORS as error:
         return Failure(StoreOutcomeUnknown(f"unreadable answer: {error}"))
 
 
--- a/lagoonlatch/platform/operator_keys.py
+++ b/lagoonlatch/platform/operator_keys.py
@@ -9,6 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from lagoonlatch.clock import MILLIS_PER_SECOND
+from lagoonlatch.decoding import CONVERSION_ERRORS, MAX_INT64
 from lagoonlatch.steering.model import (
     CallerLimits,
     Organisation,
@@ -101,7 +102,7 @@
                 spec = msgspec.convert(resource.spec, wanted)
                 specs_by_kind[resource.resource_kind][resource.metadata.name] = spec
         return Success(_to_rules(document.version, specs_by_kind))
-    except (msgspec.MsgspecError, ValueError) as error:
+    except CONVERSION_ERRORS as error:
         return Failure(str(error))
 
 
@@ -112,6 +113,13 @@
     return key.removeprefix(EVACUATION_PREFIX)
 
 
+def _to_version(text: str) -> int:
+    version = int(text.removeprefix(_VERSION_MARK))
+    if not 0 < version <= MAX_INT64:
+        raise ValueError(f"version {text!r} is not in r1 to r{MAX_INT64}")
+    return version
+
+
 def _to_rules(version: str, specs_by_kind: dict[str, dict[str, Any]]) -> TrafficRules:
     routes_by_host: dict[str, list[Route]] = defaultdict(list)
     for name, spec in specs_by_kind["routes"].items():
@@ -130,7 +138,7 @@
         for name, spec in specs_by_kind["tenants"].items()
     }
     return TrafficRules(
-        version=int(version.removeprefix(_VERSION_MARK)),
+        version=_to_version(version),
         routes_by_host={host: tuple(routes) for host, routes in routes_by_host.items()},
         organisations_by_id=organisations,
         organisation_by_key={
--- a/lagoonlatch/platform/registrations.py
+++ b/lagoonlatch/platform/registrations.py
@@ -2,34 +2,44 @@
 
 from __future__ import annotations
 
-from typing import Literal
+from typing import Annotated, Literal
 
 import msgspec
 from returns.result import Failure, Result, Success
 
 from lagoonlatch.clock import MILLIS_PER_SECOND
+from lagoonlatch.decoding import CONVERSION_ERRORS, MAX_INT64
+from lagoonlatch.platform.endpoint import Endpoint
 from lagoonlatch.steering.model import UpstreamRecord, VmRecord
 
 UPSTREAM_PREFIX = "servers/"
 VM_PREFIX = "lagoonlatch/vms/"
 ROSTER_PREFIX = "lagoonlatch/roster/"
 
+MAX_SLOTS = 1_000_000
+MAX_COLD_SECONDS = 86_400.0
+
+_Slots = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+_ColdSeconds = Annotated[float, msgspec.Meta(le=MAX_COLD_SECONDS)]
+_Int64 = Annotated[int, msgspec.Meta(ge=-MAX_INT64, le=MAX_INT64)]
+_Instant = _Int64 | Annotated[float, msgspec.Meta(ge=-MAX_INT64, le=MAX_INT64)]
+
 
 class _Server(msgspec.Struct):
     service: str
     addr: str
     zone: str
-    slots: int
+    slots: _Slots
     state: Literal["ready", "draining"]
-    cold_left_s: float = 0.0
-    born: int | float = 0
+    cold_left_s: _ColdSeconds = 0.0
+    born: _Instant = 0
 
 
 class _Vm(msgspec.Struct):
     data_centre: str
     caller_address: str
     peer_address: str
-    run: int
+    run: _Int64
     ready: bool
 
 
@@ -41,11 +51,9 @@
     """Decode an upstream's entry; one that is odd names no upstream."""
     try:
         wire = msgspec.json.decode(value, type=_Server)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        Endpoint.from_untrusted(wire.addr)
+    except CONVERSION_ERRORS as error:
         return Failure(f"entry {key!r}: {error}")
-    host, _, port = wire.addr.rpartition(":")
-    if not host or not port.isdigit() or wire.slots < 1:
-        return Failure(f"entry {key!r}: address {wire.addr!r}, slots {wire.slots}")
     return Success(
         UpstreamRecord(
             id=key.removeprefix(UPSTREAM_PREFIX),
@@ -65,12 +73,12 @@
     return msgspec.json.encode(_Place(data_centre=data_centre))
 
 
-def decode_roster(value: bytes) -> str:
-    """Decode the data centre of a VM in the roster; empty if it can't be read."""
+def decode_roster(key: str, value: bytes) -> Result[str, str]:
+    """Decode the data centre of a VM in the roster; empty if it isn't stated."""
     try:
-        return msgspec.json.decode(value, type=_Place).data_centre
-    except (msgspec.MsgspecError, UnicodeDecodeError):
-        return ""
+        return Success(msgspec.json.decode(value, type=_Place).data_centre)
+    except CONVERSION_ERRORS as error:
+        return Failure(f"entry {key!r}: {error}")
 
 
 def encode_vm(record: VmRecord) -> bytes:
@@ -90,7 +98,9 @@
     """Decode a VM's entry."""
     try:
         wire = msgspec.json.decode(value, type=_Vm)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        Endpoint.from_untrusted(wire.caller_address)
+        Endpoint.from_untrusted(wire.peer_address)
+    except CONVERSION_ERRORS as error:
         return Failure(f"entry {key!r}: {error}")
     return Success(
         VmRecord(
--- a/tests/entry/test_facts.py
+++ b/tests/entry/test_facts.py
@@ -142,8 +142,8 @@
     record = VmRecord(
         id="vm-1",
         data_centre="n-a",
-        caller_address="a:1",
-        peer_address="a:2",
+        caller_address="10.0.0.1:1",
+        peer_address="10.0.0.1:2",
         run=1,
         is_ready=True,
     )
--- a/tests/entry/test_malformed_entries.py
+++ b/tests/entry/test_malformed_entries.py
@@ -5,10 +5,13 @@
 """
 
 import json
+import signal
 
+import gevent
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
+from lagoonlatch.entry import facts as facts_module
 from lagoonlatch.entry.facts import Facts
 from lagoonlatch.platform.kv import Change
 from lagoonlatch.platform.registrations import ROSTER_PREFIX, VM_PREFIX
@@ -151,13 +154,28 @@
     "host that is no address": upstream_with("addr", f'"{"x" * 100}:80"'),
     "too many slots": upstream_with("slots", "1" + "0" * 400),
 }
+VM = {
+    "data_centre": "n-a",
+    "caller_address": "127.0.0.1:9",
+    "peer_address": "127.0.0.1:9",
+    "run": 1,
+    "ready": True,
+}
+ODD_VMS = (
+    VM | {"peer_address": "zz"},
+    VM | {"peer_address": "127.0.0.1:99999"},
+    VM | {"caller_address": "zz:1"},
+    VM | {"run": 10**30},
+)
 
 
 def test_one_odd_entry_of_another_writer_ends_no_vm():
-    with EntryFleet(vms=2) as fleet:
+    with EntryFleet(vms=4) as fleet:
         for number, value in enumerate(ODD_UPSTREAMS.values()):
             for prefix in ("servers/", VM_PREFIX, ROSTER_PREFIX):
                 fleet.store.put(f"{prefix}odd-{number}", value)
+        for number, document in enumerate(ODD_VMS):
+            fleet.store.put(f"{VM_PREFIX}odd-vm-{number}", document)
         fleet.configure(keys=("later",))
         fields = {"Authorization": "Token later"}
         for vm in fleet.vms_by_id.values():
@@ -166,3 +184,38 @@
             statuses = [ask(vm, f"{vm.id}-{n}", **fields) for n in range(40)]
             assert set(statuses) == {200}
             assert vm.process.poll() is None
+        # A VM that starts reads the odd entries with its first snapshot.
+        fleet.signal("vm-0", signal.SIGKILL)
+        fleet.vms_by_id["vm-0"].process.wait()
+        restarted = fleet.start_vm("vm-0", "n-a", first=False)
+        assert eventually(lambda: ask(restarted, "x", **fields) == 200)
+        gevent.sleep(1.0)
+        assert restarted.process.poll() is None
+
+
+def test_an_odd_entry_that_is_written_at_intervals_is_logged_once(monkeypatch):
+    events = []
+    monkeypatch.setattr(facts_module, "emit", events.append)
+    facts = Facts(make_upstream_table(), ManualClock())
+    for revision in range(1, 6):
+        value = upstream_with("slots", str(-revision))
+        facts.apply_changes([Change("servers/i-1", value, revision)])
+    assert len(events) == facts.odd_count() == 1
+    facts.apply_changes([Change("servers/i-1", json.dumps(UPSTREAM).encode(), 6)])
+    assert facts.odd_count() == 0
+
+
+def test_an_entry_whose_listener_fails_does_not_affect_other_entries():
+    facts = Facts(make_upstream_table(), ManualClock())
+
+    def fail(_rules):
+        raise ArithmeticError("listener")
+
+    facts.add_rules_listener(fail)
+    valid = json.dumps(UPSTREAM).encode()
+    configuration = json.dumps(CONFIGURATION).encode()
+    facts.apply_changes(
+        [Change("op/config", configuration, 1), Change("servers/i-1", valid, 2)]
+    )
+    assert facts.fleet.ids() == {"i-1"}
+    assert facts.odd_count() == 1
--- a/tests/platform/test_registrations.py
+++ b/tests/platform/test_registrations.py
@@ -46,6 +46,17 @@
         {"service": 3},
         {"zone": ["n-a"]},
         {"cold_left_s": "soon"},
+        {"cold_left_s": 1e308},
+        {"slots": 2**62},
+        {"slots": 10**30},
+        {"born": 10**400},
+        {"addr": "10.0.0.1:0"},
+        {"addr": "10.0.0.1:70000"},
+        {"addr": "10.0.0.1:99999999999"},
+        {"addr": "10.0.0.1:²"},
+        {"addr": "10.0.0.1 :80"},
+        {"addr": "10.0.0.1\0:80"},
+        {"addr": f"{'x' * 100}:80"},
     ],
 )
 def test_an_odd_entry_names_no_upstream(changes):
