--- a/lagoonlatch/entry/catch_up.py
+++ b/lagoonlatch/entry/catch_up.py
@@ -23,8 +23,10 @@
 from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
 from lagoonlatch.entry.codec import (
     decode_batch,
+    decode_behind,
     decode_patch,
     encode_batch,
+    encode_behind,
     encode_whole_patch,
 )
 from lagoonlatch.entry.events import NewsFailed, NewsTaken
@@ -35,6 +37,7 @@
 from lagoonlatch.entry.sync import StoreSync
 from lagoonlatch.platform.endpoint import Endpoint
 from lagoonlatch.platform.store import Entry
+from lagoonlatch.steering.knowledge import Knowledge
 from lagoonlatch.vms.connection import (
     MAX_FRAME_BYTES,
     framed_transport,
@@ -90,17 +93,25 @@
         server.start()
         return server
 
-    def read_since(self, revision: int, configuration: int) -> wire.Reading:
-        """Return everything newer than the revisions that the caller knows."""
+    def read_since(
+        self,
+        revision: int,
+        configuration: int,
+        era: int | None = None,
+        version: int | None = None,
+    ) -> wire.Reading:
+        """Return everything newer than what the caller knows."""
         replica = self._replica
+        behind = wire.Behind(revision, configuration, era, version)
+        known = decode_behind(behind, replica)
         answer = wire.Reading()
-        if replica.revision > revision:
-            batch = replica.batch_since(revision)
+        if replica.knowledge.position > known.position:
+            batch = replica.batch_since(known.revision, known.era)
             if batch is None:
                 return wire.Reading(snapshot=_encode_snapshot(replica))
             answer.batch = encode_batch(batch)
-        if replica.configuration_revision > configuration:
-            patch = replica.versions.patch_from(configuration)
+        if replica.configuration_version > known.version:
+            patch = replica.versions.patch_from(known.version)
             answer.patch = encode_whole_patch(patch)
         return answer
 
@@ -126,8 +137,8 @@
     list_addresses : callable
         Returns the ``IP:port`` addresses of other VMs.
     list_ahead : callable
-        Returns the addresses of VMs that reported later revisions than the given ones,
-        those of this region first.
+        Returns the addresses of VMs that reported more than the given knowledge, those
+        of this region first.
     send_query : callable
         Sends a query to an address; the answers arrive as datagrams.
     """
@@ -137,7 +148,7 @@
         replica: StoreReplica,
         sync: StoreSync,
         list_addresses: Callable[[], Sequence[str]],
-        list_ahead: Callable[[int, int], Sequence[str]],
+        list_ahead: Callable[[Knowledge], Sequence[str]],
         send_query: Callable[[str, wire.Datagram], None],
         clock: Clock,
     ) -> None:
@@ -151,7 +162,7 @@
         self._last_query_at: Millis = 0.0
         self._queried_in_vain: set[str] = set()
         self._rounds = 0
-        self._queried_revisions = (0, 0)
+        self._queried_knowledge = Knowledge()
         self._addresses_being_called: set[str] = set()
         self._wake_up = Event()
 
@@ -202,24 +213,22 @@
         The result is empty if this VM lacks no changes.
         """
         replica = self._replica
-        lacks_configuration = (
-            replica.newest_configuration_revision > replica.configuration_revision
-        )
+        lacks_configuration = replica.lacks_configuration
         if self._sync.is_pausing and not lacks_configuration:
             # The next call of this VM's own watch brings the changes.
             return []
-        ahead = self._list_ahead(replica.revision, replica.configuration_revision)
+        ahead = self._list_ahead(replica.knowledge)
         return ahead or (self._list_addresses() if lacks_configuration else [])
 
     def _send_queries(self, addresses: Sequence[str]) -> None:
         self._last_query_at = self._clock.now()
-        known_revisions = (self._replica.revision, self._replica.configuration_revision)
-        if known_revisions != self._queried_revisions:
-            self._queried_revisions = known_revisions
+        knowledge = self._replica.knowledge
+        if knowledge != self._queried_knowledge:
+            self._queried_knowledge = knowledge
             self._rounds = 0
             self._queried_in_vain.clear()
         chosen = self._choose_addresses(addresses)
-        behind = wire.Datagram(behind=wire.Behind(*known_revisions))
+        behind = wire.Datagram(behind=encode_behind(self._replica))
         for address in chosen:
             self._send_query(address, behind)
         self._queried_in_vain.update(chosen)
@@ -243,16 +252,14 @@
 
     def _call(self, address: str) -> None:
         try:
-            result = _read_since(
-                address, self._replica.revision, self._replica.configuration_revision
-            )
+            result = _read_since(address, encode_behind(self._replica))
         finally:
             self._addresses_being_called.discard(address)
         if isinstance(result, Failure):
             emit(NewsFailed(peer=address, why=result.failure()))
             return
         try:
-            has_changes = _apply_answer(result.unwrap(), self._replica)
+            has_changes = _apply_answer(result.unwrap(), self._replica, address)
         except Exception as error:
             # Decoding a malformed answer may raise any exception.
             emit(NewsFailed(peer=address, why=repr(error)))
@@ -261,23 +268,30 @@
             emit(NewsTaken(peer=address, revision=self._replica.revision))
 
 
-def _apply_answer(reply: wire.Reading, replica: StoreReplica) -> bool:
+def _apply_answer(reply: wire.Reading, replica: StoreReplica, address: str) -> bool:
     """Apply the answer to a call; return False if it was empty."""
     if reply.snapshot is not None:
         snapshot = _decode_snapshot(reply.snapshot)
-        entries = [Entry(i.key, i.value, i.revision) for i in snapshot.items]
-        hold_left = float(snapshot.lapse_left or 0)
-        replica.apply_snapshot(entries, snapshot.revision, hold_left)
-    if reply.batch is not None:
+        if snapshot.era is not None:
+            entries = [Entry(i.key, i.value, i.revision) for i in snapshot.items]
+            replica.apply_snapshot(
+                entries,
+                snapshot.revision,
+                era=snapshot.era,
+                hold_left=float(snapshot.lapse_left or 0),
+                told_by=address,
+            )
+    if reply.batch is not None and reply.batch.era is not None:
         replica.apply_batch(decode_batch(reply.batch))
-    if reply.patch is not None:
+    if reply.patch is not None and reply.patch.version is not None:
         replica.apply_patch(decode_patch(reply.patch))
     return any(x is not None for x in (reply.snapshot, reply.batch, reply.patch))
 
 
 def _encode_snapshot(replica: StoreReplica) -> bytes:
     items = [wire.Item(e.key, e.value, e.revision) for e in replica.entries()]
-    snapshot = wire.Snapshot(items, replica.revision, round(replica.hold_left()))
+    hold_left = round(replica.hold_left())
+    snapshot = wire.Snapshot(items, replica.revision, hold_left, replica.era)
     return zstandard.ZstdCompressor().compress(serialize(snapshot))
 
 
@@ -296,9 +310,7 @@
     return deserialize(wire.Snapshot(), packed)
 
 
-def _read_since(
-    address: str, revision: int, configuration_revision: int
-) -> Result[wire.Reading, str]:
+def _read_since(address: str, behind: wire.Behind) -> Result[wire.Reading, str]:
     try:
         with gevent.Timeout(CALL_TIMEOUT / MILLIS_PER_SECOND, TimeoutError):
             sock = socket.create_connection(
@@ -310,7 +322,14 @@
                 tune_peer_socket(sock)
                 protocol = TBinaryProtocolAccelerated(framed_transport(sock))
                 client = News.Client(protocol)
-                return Success(client.read_since(revision, configuration_revision))
+                return Success(
+                    client.read_since(
+                        behind.revision,
+                        behind.configuration,
+                        behind.era,
+                        behind.version,
+                    )
+                )
             finally:
                 sock.close()
     except (OSError, EOFError, TException) as error:
--- a/lagoonlatch/entry/codec.py
+++ b/lagoonlatch/entry/codec.py
@@ -13,9 +13,10 @@
 from itertools import groupby
 
 from lagoonlatch.entry.generated import ttypes as wire
-from lagoonlatch.entry.replica import Batch
+from lagoonlatch.entry.replica import Batch, StoreReplica
 from lagoonlatch.entry.versions import MAX_VERSION_BYTES, Patch
 from lagoonlatch.platform.kv import Change
+from lagoonlatch.steering.knowledge import Knowledge
 
 MAX_PIECE_BYTES = 7_000
 """Limit of the content of a piece; with its other fields, the datagram stays below the
@@ -62,6 +63,8 @@
         changes=[wire.Change(c.key, c.value, c.revision) for c in batch.changes],
         lapse_left=round(batch.hold_left),
         configuration=batch.configuration_revision,
+        era=batch.era,
+        version=batch.configuration_version,
     )
 
 
@@ -71,35 +74,72 @@
         since=batch.since,
         until=batch.until,
         changes=tuple(Change(c.key, c.value, c.revision) for c in batch.changes),
-        configuration_revision=batch.configuration or 0,
+        era=batch.era or 0,
+        configuration_version=batch.version or 0,
         hold_left=float(batch.lapse_left),
     )
 
 
+def encode_behind(replica: StoreReplica) -> wire.Behind:
+    """Encode what this VM knows of the store, to ask another VM for the rest."""
+    return wire.Behind(
+        revision=replica.revision,
+        configuration=replica.configuration_revision,
+        era=replica.era,
+        version=replica.configuration_version,
+    )
+
+
+def decode_behind(behind: wire.Behind, replica: StoreReplica) -> Knowledge:
+    """Decode what another VM knows of the store.
+
+    A VM of an earlier build states neither the era nor the version. Its revisions are
+    taken for those of this VM's era.
+    """
+    if behind.era is None:
+        return Knowledge(
+            era=replica.era,
+            revision=behind.revision,
+            version=replica.versions.find(behind.configuration),
+        )
+    return Knowledge(
+        era=behind.era, revision=behind.revision, version=behind.version or 0
+    )
+
+
 def encode_patch(patch: Patch) -> Iterator[wire.Patch]:
     """Encode a patch for another VM, in pieces that each fit into a datagram."""
     count = max(-(-len(patch.data) // MAX_PIECE_BYTES), 1)
     for index in range(count):
         yield wire.Patch(
             revision=patch.revision,
-            base=patch.base,
+            base=patch.base_revision,
             data=patch.data[index * MAX_PIECE_BYTES : (index + 1) * MAX_PIECE_BYTES],
             digest=patch.digest,
             piece=index,
             pieces=count,
+            version=patch.version,
+            base_version=patch.base,
         )
 
 
 def encode_whole_patch(patch: Patch) -> wire.Patch:
     """Encode a patch for another VM, in one piece."""
-    return wire.Patch(patch.revision, patch.base, patch.data, patch.digest, 0, 1)
+    return wire.Patch(
+        patch.revision,
+        patch.base_revision,
+        patch.data,
+        patch.digest,
+        0,
+        1,
+        patch.version,
+        patch.base,
+    )
 
 
 def decode_patch(patch: wire.Patch) -> Patch:
     """Decode a patch that consists of one piece."""
-    return Patch(
-        revision=patch.revision, base=patch.base, data=patch.data, digest=patch.digest
-    )
+    return _to_patch(patch, patch.data)
 
 
 class PatchAssembler:
@@ -114,7 +154,7 @@
             raise ValueError(
                 f"invalid piece number {piece.piece} of {piece.pieces} in a patch"
             )
-        patch_key = (piece.revision, piece.base, piece.digest, piece.pieces)
+        patch_key = (piece.version, piece.base_version, piece.digest, piece.pieces)
         pieces = self._pieces_by_patch.setdefault(patch_key, {})
         pieces[piece.piece] = piece.data
         if len(pieces) < piece.pieces:
@@ -122,12 +162,19 @@
                 self._pieces_by_patch.popitem(last=False)
             return None
         del self._pieces_by_patch[patch_key]
-        return Patch(
-            revision=piece.revision,
-            base=piece.base,
-            data=b"".join(pieces[index] for index in range(piece.pieces)),
-            digest=piece.digest,
-        )
+        data = b"".join(pieces[index] for index in range(piece.pieces))
+        return _to_patch(piece, data)
+
+
+def _to_patch(patch: wire.Patch, data: bytes) -> Patch:
+    return Patch(
+        version=patch.version,
+        base=patch.base_version or 0,
+        data=data,
+        digest=patch.digest,
+        revision=patch.revision,
+        base_revision=patch.base,
+    )
 
 
 def _revision_of(change: Change) -> int:
--- a/lagoonlatch/entry/events.py
+++ b/lagoonlatch/entry/events.py
@@ -282,6 +282,45 @@
     revision: int
 
 
+@log_event(logging.WARNING)
+class StoreEraOdd(LogEvent):
+    """The store states an era that can't be read; the known one stays."""
+
+    era: str
+
+
+@log_event(logging.WARNING)
+class StoreRestored(LogEvent):
+    """The store was restored from a copy, as a snapshot from `told_by` shows."""
+
+    told_by: str
+    known_era: int
+    known_revision: int
+    era: int
+    revision: int
+
+
+@log_event()
+class RestoreSettling(LogEvent):
+    """Entries that the restored store lacks or has in an older form, by kind.
+
+    Those that it lacks stay in force and older ones are ignored for a while, unless
+    they are written again.
+    """
+
+    missing_upstreams: int
+    missing_vms: int
+    missing_roster: int
+    missing_evacuations: int
+    older_upstreams: int
+    older_others: int
+
+
+@log_event()
+class RestoreSettled(LogEvent):
+    """The content of the restored store is in force; nothing is held any more."""
+
+
 @log_event()
 class WatchHistoryGone(LogEvent):
     """The store has dropped the changes since `revision`; all entries are reread."""
--- a/lagoonlatch/entry/facts.py
+++ b/lagoonlatch/entry/facts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass, replace
 
 from returns.result import Failure, Success
 
@@ -14,6 +15,8 @@
     EvacuationsChanged,
     FactsRead,
     LogEvent,
+    RestoreSettled,
+    RestoreSettling,
     RosterEntryOdd,
     UpstreamEntryOdd,
     UpstreamGone,
@@ -27,6 +30,7 @@
 from lagoonlatch.platform.kv import Change
 from lagoonlatch.platform.operator_keys import (
     CONFIGURATION_KEY,
+    EVACUATION_PREFIX,
     decode_configuration,
     evacuated_data_centre,
 )
@@ -42,20 +46,59 @@
 from lagoonlatch.steering.model import TrafficRules, VmRecord
 from lagoonlatch.steering.upstreams import UpstreamTable
 
+MISSING_ENTRY_HOLD_TIME: Millis = 5_000.0
+"""How long entries of VMs and operators that a restored store lacks stay in force. A VM
+writes its entry again within the duration of its lease."""
+
+OLDER_ENTRY_HOLD_TIME: Millis = 10_000.0
+"""How long entries of a restored store that are older than what is known are ignored.
+The store removes the entries of upstreams that have left after three of their
+heartbeats."""
+
+UNCERTAIN_CONFIGURATION_TIME: Millis = 2_000.0
+"""How long a VM that starts soon after a restore waits for other VMs to send a later
+configuration than that of the store."""
+
+REMOVED_ENTRY_LIFETIME: Millis = 60_000.0
+"""How long removed entries are remembered, since a copy of the store may contain them;
+well above the age of a copy."""
+
 HOLD_TIME: Millis = 2_300.0
 """How long upstreams without entries are held after an outage. Upstreams whose entries
 lapsed during the outage write them again within two seconds of its end."""
 
 
+@dataclass(frozen=True)
+class _Unsettled:
+    """What a restored store holds for a key, while something else is in force.
+
+    Parameters
+    ----------
+    entry : Entry or None
+        None if the store lacks the key.
+    until : Millis
+        When the store's content comes into force.
+    """
+
+    entry: Entry | None
+    until: Millis
+
+
 class Facts:
     """Keep the newest facts and notify listeners of changes.
 
     A fact is what an entry of the store says.
 
+    A restored store may lack entries that are in force, and bring back others that were
+    replaced or removed. Their owners write them again. Until then, for a limited time,
+    the newer facts stay in force; any change of the key in the new era ends that.
+
     Attributes
     ----------
     rules : TrafficRules or None
         None until a configuration is known.
+    configuration : Entry or None
+        The entry that contains `rules`.
     vms_by_id : dict of str to VmRecord
         The VMs that have an entry.
     known_vms_by_id : dict of str to VmRecord
@@ -68,6 +111,7 @@
     def __init__(self, fleet: UpstreamTable, clock: Clock) -> None:
         self.fleet = fleet
         self.rules: TrafficRules | None = None
+        self.configuration: Entry | None = None
         self.vms_by_id: dict[str, VmRecord] = {}
         self.known_vms_by_id: dict[str, VmRecord] = {}
         self.roster: dict[str, str] = {}
@@ -85,6 +129,9 @@
         self._current_at: Millis = clock.now()
         self._held_ids: set[str] = set()
         self._odd_keys: set[str] = set()
+        self._unsettled_by_key: dict[str, _Unsettled] = {}
+        self._is_settling = False
+        self._removed_by_key: dict[str, tuple[Entry, Millis]] = {}
 
     def add_rules_listener(self, listener: Callable[[TrafficRules], None]) -> None:
         """Call `listener` with each new configuration."""
@@ -114,7 +161,12 @@
 
     def entries(self) -> list[Entry]:
         """Return all entries as the store holds them."""
-        return list(self._entry_by_key.values())
+        unsettled = self._unsettled_by_key
+        stored = [
+            entry for key, entry in self._entry_by_key.items() if key not in unsettled
+        ]
+        stored += [held.entry for held in unsettled.values() if held.entry is not None]
+        return stored
 
     def hold_missing_upstreams(self, duration: Millis = HOLD_TIME) -> None:
         """Keep using upstreams whose entries are gone for `duration`.
@@ -127,18 +179,111 @@
         """Return how long upstreams whose entries are gone are still held."""
         return max(self._hold_until - self._clock.now(), 0.0)
 
-    def apply_snapshot(self, entries: Sequence[Entry]) -> None:
-        """Replace all facts by `entries`."""
+    def apply_snapshot(self, entries: Sequence[Entry], era: int = 0) -> None:
+        """Replace all facts by `entries` of the store in its era `era`."""
         present = {entry.key for entry in entries}
-        for key in [key for key in self._entry_by_key if key not in present]:
-            self._remove_entry(key)
+        held = self._unsettled_by_key
+        for key in dict.fromkeys([*self._entry_by_key, *held]):
+            is_held = key in held and held[key].entry is None
+            if key not in present and not is_held:
+                self._settle(key)
+                self._remove_entry(key, is_removal=True)
+        configurations = []
         for entry in entries:
-            self._apply_entry(entry)
+            if entry.key == CONFIGURATION_KEY and not self._has_snapshot:
+                configurations.append(entry)
+            else:
+                self._apply_new_entry(entry)
+        for entry in configurations:
+            if any(
+                vm.era is not None and vm.era < era for vm in self.vms_by_id.values()
+            ):
+                # VMs have not registered since the restore: the configuration may be
+                # older than the one that they have in force.
+                until = self._clock.now() + UNCERTAIN_CONFIGURATION_TIME
+                self._unsettled_by_key[entry.key] = _Unsettled(entry, until)
+            else:
+                self._apply_entry(entry)
         if not self._has_snapshot:
             self._has_snapshot = True
             emit(FactsRead(upstreams=len(self.fleet.ids()), vms=len(self.vms_by_id)))
         self._notify_listeners()
 
+    def apply_restored_snapshot(self, entries: Sequence[Entry]) -> None:
+        """Apply the entries of a store that was restored since the known facts."""
+        now = self._clock.now()
+        self._unsettled_by_key.clear()
+        self._is_settling = True
+        self.hold_missing_upstreams()
+        # Revisions of earlier eras are lower than all of the new one.
+        self._entry_by_key = {
+            key: replace(entry, revision=0) for key, entry in self._entry_by_key.items()
+        }
+        present = {entry.key for entry in entries}
+        missing_upstreams = 0
+        for key in [key for key in self._entry_by_key if key not in present]:
+            if key.startswith(UPSTREAM_PREFIX):
+                missing_upstreams += 1
+                self._remove_entry(key)
+            else:
+                until = now + MISSING_ENTRY_HOLD_TIME
+                self._unsettled_by_key[key] = _Unsettled(None, until)
+        for entry in entries:
+            known = self._entry_by_key.get(entry.key)
+            if known is not None and known.value == entry.value:
+                self._entry_by_key[entry.key] = entry
+            elif self._is_older(entry):
+                until = now + OLDER_ENTRY_HOLD_TIME
+                self._unsettled_by_key[entry.key] = _Unsettled(entry, until)
+            else:
+                self._apply_entry(entry)
+        older = [key for key, held in self._unsettled_by_key.items() if held.entry]
+        older_upstreams = sum(key.startswith(UPSTREAM_PREFIX) for key in older)
+        emit(
+            RestoreSettling(
+                missing_upstreams=missing_upstreams,
+                missing_vms=self.missing_count(VM_PREFIX),
+                missing_roster=self.missing_count(ROSTER_PREFIX),
+                missing_evacuations=self.missing_count(EVACUATION_PREFIX),
+                older_upstreams=older_upstreams,
+                older_others=len(older) - older_upstreams,
+            )
+        )
+        self._notify_listeners()
+
+    def settle_restored_entries(self) -> None:
+        """Let the content of the restored store come into force where it is due."""
+        now = self._clock.now()
+        due = [key for key, held in self._unsettled_by_key.items() if held.until <= now]
+        for key in due:
+            entry = self._settle(key)
+            if entry is None:
+                self._remove_entry(key, is_removal=True)
+            else:
+                self._apply_entry(entry)
+        if due:
+            self._notify_listeners()
+        if self._is_settling and not self._unsettled_by_key:
+            self._is_settling = False
+            emit(RestoreSettled())
+
+    def missing_count(self, prefix: str) -> int:
+        """Return how many entries are in force although a restored store lacks them."""
+        return sum(
+            held.entry is None and key.startswith(prefix)
+            for key, held in self._unsettled_by_key.items()
+        )
+
+    def older_count(self) -> int:
+        """Return how many entries of a restored store are ignored as older."""
+        return sum(held.entry is not None for held in self._unsettled_by_key.values())
+
+    def put_configuration_in_force(self, text: bytes, revision: int) -> None:
+        """Put a configuration from another VM in force, unless a later one is known."""
+        odd = self._update_rules(Entry(CONFIGURATION_KEY, text, revision))
+        if odd is not None:
+            emit(odd)
+
     def apply_changes(self, changes: Iterable[Change]) -> None:
         """Apply changes in their order."""
         for change in changes:
@@ -146,9 +291,10 @@
                 known = self._entry_by_key.get(change.key)
                 # The entry may be newer than a change that arrived by another path.
                 if known is None or known.revision < change.revision:
-                    self._remove_entry(change.key)
+                    self._settle(change.key)
+                    self._remove_entry(change.key, is_removal=True)
             else:
-                self._apply_entry(Entry(change.key, change.value, change.revision))
+                self._apply_new_entry(Entry(change.key, change.value, change.revision))
         self._notify_listeners()
 
     def held_count(self) -> int:
@@ -166,14 +312,46 @@
             for upstream_id in held:
                 self._drop_upstream(upstream_id)
 
+    def _apply_new_entry(self, entry: Entry) -> None:
+        """Apply an entry that the store has written in its present era."""
+        held = self._unsettled_by_key.get(entry.key)
+        if held is None or held.entry is None or held.entry.revision < entry.revision:
+            self._settle(entry.key)
+            self._apply_entry(entry)
+
+    def _settle(self, key: str) -> Entry | None:
+        """Hold a key no longer; return what the restored store holds for it."""
+        held = self._unsettled_by_key.pop(key, None)
+        return held.entry if held is not None else None
+
+    def _is_older(self, entry: Entry) -> bool:
+        """Return whether an entry of a restored store is older than what is known.
+
+        Upstreams and VMs number what they write. Of other keys it is only known which
+        entries were removed.
+        """
+        known, was_removed = self._entry_by_key.get(entry.key), False
+        if known is None:
+            known, removed_at = self._removed_by_key.get(entry.key, (None, 0.0))
+            was_removed = known is not None
+            if self._clock.now() - removed_at > REMOVED_ENTRY_LIFETIME:
+                known = None
+        if known is None:
+            return False
+        order, known_order = _order_of(entry), _order_of(known)
+        if order is None or known_order is None:
+            return was_removed and entry == known
+        return order < known_order or (was_removed and order == known_order)
+
     def _apply_entry(self, entry: Entry) -> None:
-        key, value = entry.key, entry.value
+        key = entry.key
         known = self._entry_by_key.get(key)
         if known is not None and known.revision >= entry.revision:
             return
         self._entry_by_key[key] = entry
+        self._removed_by_key.pop(key, None)
         try:
-            odd = self._apply_value(key, value)
+            odd = self._apply_value(entry)
         except Exception as error:
             # Any exception: one entry must not end the task that follows the store.
             odd = EntryFailed(entry=key, why=repr(error))
@@ -184,10 +362,11 @@
             self._odd_keys.add(key)
             emit(odd)
 
-    def _apply_value(self, key: str, value: bytes) -> LogEvent | None:
+    def _apply_value(self, entry: Entry) -> LogEvent | None:
         """Apply the value of an entry; return an event if it can't be read."""
+        key, value = entry.key, entry.value
         if key == CONFIGURATION_KEY:
-            return self._update_rules(value)
+            return self._update_rules(entry)
         if (data_centre := evacuated_data_centre(key)) is not None:
             self._set_evacuated(self._evacuated_data_centres | {data_centre})
         elif key.startswith(UPSTREAM_PREFIX):
@@ -198,8 +377,18 @@
             return self._update_roster(key, value)
         return None
 
-    def _remove_entry(self, key: str) -> None:
-        self._entry_by_key.pop(key, None)
+    def _remove_entry(self, key: str, is_removal: bool = False) -> None:
+        """Remove an entry.
+
+        Parameters
+        ----------
+        is_removal : bool
+            Whether it is known that the key was removed; a restored store may only have
+            lost it.
+        """
+        entry = self._entry_by_key.pop(key, None)
+        if entry is not None and is_removal:
+            self._remember_removed(entry)
         self._odd_keys.discard(key)
         if (data_centre := evacuated_data_centre(key)) is not None:
             self._set_evacuated(self._evacuated_data_centres - {data_centre})
@@ -221,6 +410,15 @@
             self.roster.pop(key.removeprefix(ROSTER_PREFIX), None)
             self._roster_has_changed = True
 
+    def _remember_removed(self, entry: Entry) -> None:
+        now = self._clock.now()
+        self._removed_by_key[entry.key] = (entry, now)
+        # The dictionary is in the order of removal.
+        for key, (_, removed_at) in list(self._removed_by_key.items()):
+            if now - removed_at <= REMOVED_ENTRY_LIFETIME:
+                break
+            del self._removed_by_key[key]
+
     def _update_roster(self, key: str, value: bytes) -> LogEvent | None:
         decoded = decode_roster(key, value)
         if isinstance(decoded, Failure):
@@ -245,14 +443,15 @@
         for listener in self._roster_listeners:
             listener(self.roster)
 
-    def _update_rules(self, value: bytes) -> LogEvent | None:
-        decoded = decode_configuration(value)
+    def _update_rules(self, entry: Entry) -> LogEvent | None:
+        decoded = decode_configuration(entry.value)
         if isinstance(decoded, Failure):
             return ConfigurationUnreadable(why=decoded.failure())
         rules = decoded.unwrap()
         if self.rules is not None and rules.version <= self.rules.version:
             return None
         self.rules = rules
+        self.configuration = entry
         self.fleet.configure(rules.services_by_id)
         emit(
             ConfigurationInForce(
@@ -315,3 +514,16 @@
         """Log a fact, unless it belongs to the first snapshot, logged as one event."""
         if self._has_snapshot:
             emit(event)
+
+
+def _order_of(entry: Entry) -> tuple[float, int] | None:
+    """Return the order of what an upstream or a VM has written; None if unknown."""
+    if entry.key.startswith(UPSTREAM_PREFIX):
+        return (
+            decode_upstream(entry.key, entry.value)
+            .map(lambda r: r.order)
+            .value_or(None)
+        )
+    if entry.key.startswith(VM_PREFIX):
+        return decode_vm(entry.key, entry.value).map(lambda r: r.order).value_or(None)
+    return None
--- a/lagoonlatch/entry/metrics.py
+++ b/lagoonlatch/entry/metrics.py
@@ -44,6 +44,10 @@
             "store_calls_total", "Calls to the store by call and result"
         )
 
+        self._odd_eras = self._counter(
+            "store_odd_eras_total", "Answers of the store whose era can't be read"
+        )
+
     def request_ended(self, route: str, status: int, why: str, total: Millis) -> None:
         """Record the final answer to a request."""
         self._requests.inc({"route": route, "status": str(status)})
@@ -69,6 +73,10 @@
         if call != "watch":
             self._store.observe({"call": call}, duration)
 
+    def odd_era_received(self) -> None:
+        """Count an answer of the store whose era can't be read."""
+        self._odd_eras.inc({})
+
     def add_gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
         """Add a gauge whose value `read` returns whenever the metrics are collected."""
         self._gauges.append((self._gauge(name, text), read))
--- a/lagoonlatch/entry/peer.thrift
+++ b/lagoonlatch/entry/peer.thrift
@@ -22,6 +22,10 @@
   9: i64 configuration,
   // Milliseconds since the store last answered any VM, as far as the sender knows.
   10: optional i32 store_age,
+  // Era of the store to which `revision` belongs; VMs of earlier builds don't set it.
+  11: optional i64 era,
+  // Version of the configuration in force.
+  12: optional i64 version,
 }
 
 struct Change {
@@ -41,12 +45,16 @@
   4: i32 lapse_left,
   // Revision of the newest configuration, or 0 if none is known.
   5: i64 configuration,
+  // Era of the store to which the revisions belong.
+  6: optional i64 era,
+  // Version of the newest configuration, or 0 if none is known.
+  7: optional i64 version,
 }
 
 // Difference between two configurations, or a piece of such a difference.
 struct Patch {
-  // Revisions of the store at which the new and the base configuration were written.
-  // If `base` is 0, `data` is the whole configuration.
+  // Revisions of the store at which the new and the base configuration were written,
+  // for VMs of earlier builds.
   1: i64 revision,
   2: i64 base,
   3: binary data,
@@ -55,6 +63,10 @@
   // Index of the piece in `data`, and number of pieces.
   5: i32 piece,
   6: i32 pieces,
+  // Versions of the new and the base configuration. If `base_version` is 0, `data` is
+  // the whole configuration.
+  7: optional i64 version,
+  8: optional i64 base_version,
 }
 
 // How a change is passed on. The receiver passes it on to the VMs of its region whose
@@ -71,6 +83,8 @@
   // As in Tell, for the sender.
   1: i64 revision,
   2: i64 configuration,
+  3: optional i64 era,
+  4: optional i64 version,
 }
 
 // Answers a Behind if the missing changes don't fit into datagrams and must be read by a
@@ -220,6 +234,7 @@
   2: i64 revision,
   // As in Batch.
   3: i32 lapse_left,
+  4: optional i64 era,
 }
 
 // The changes that the asker lacks. No field is set if it knows all changes that this
@@ -232,6 +247,6 @@
 }
 
 service News {
-  // Returns what is newer than the given revisions of the store and the configuration.
-  Reading read_since(1: i64 revision, 2: i64 configuration),
+  // Returns what is newer than the given knowledge, with the fields of Behind.
+  Reading read_since(1: i64 revision, 2: i64 configuration, 3: i64 era, 4: i64 version),
 }
--- a/lagoonlatch/entry/peers.py
+++ b/lagoonlatch/entry/peers.py
@@ -48,6 +48,7 @@
 from lagoonlatch.platform.endpoint import Endpoint
 from lagoonlatch.steering.allowances import Allowances
 from lagoonlatch.steering.holders import Holders
+from lagoonlatch.steering.knowledge import Knowledge
 from lagoonlatch.steering.lenders import Lenders
 from lagoonlatch.steering.model import UpstreamRecord, VmRecord
 from lagoonlatch.steering.neighbours import Neighbours
@@ -209,11 +210,9 @@
         alive = filter(self._peer_table.is_alive, self._address_by_vm)
         return list(dict.fromkeys([*known, *map(self._address_of, alive)]))
 
-    def list_addresses_ahead(
-        self, revision: int, configuration_revision: int
-    ) -> list[str]:
+    def list_addresses_ahead(self, knowledge: Knowledge) -> list[str]:
         """Return addresses of VMs with later changes, those of this region first."""
-        ahead = self._peer_table.ahead_of(revision, configuration_revision)
+        ahead = self._peer_table.ahead_of(knowledge)
         near = {vm.id for vm in self._neighbours.near}
         ahead.sort(key=lambda vm: vm not in near)
         return list(map(self._address_of, ahead))
@@ -278,11 +277,8 @@
         if status.is_leaving:
             self._neighbours.invalidate()
         if status.standing is Standing.WATCHES:
-            self._replica.note_latest_revisions(status.revision, status.configuration)
-        if (
-            status.revision > self._replica.revision
-            or status.configuration > self._replica.configuration_revision
-        ):
+            self._replica.note_latest(status.knowledge)
+        if self._replica.knowledge.lacks(status.knowledge):
             self._on_behind()
 
     @_handles("ask")
@@ -311,14 +307,10 @@
     @contextmanager
     def _log_received_changes(self, origin: Origin) -> Iterator[None]:
         """Log changes that a VM has sent as an answer, unless they were known."""
-        known = (self._replica.revision, self._replica.configuration_revision)
+        known = self._replica.knowledge
         yield
-        revision = self._replica.revision
-        if origin.spread is None and known != (
-            revision,
-            self._replica.configuration_revision,
-        ):
-            emit(NewsTaken(peer=origin.address[0], revision=revision))
+        if origin.spread is None and known != self._replica.knowledge:
+            emit(NewsTaken(peer=origin.address[0], revision=self._replica.revision))
 
     @_handles("behind")
     def _handle_behind(self, behind: Behind, origin: Origin) -> None:
@@ -396,6 +388,8 @@
             leaving=self._is_leaving(),
             revision=self._replica.revision,
             configuration=self._replica.configuration_revision,
+            era=self._replica.era,
+            version=self._replica.configuration_version,
             standing=int(self._standing()),
             interval=round(interval),
             store_age=None
@@ -429,12 +423,20 @@
 
 
 def _decode_tell(tell: Tell) -> PeerStatus:
+    standing = Standing(tell.standing or 0)
+    knowledge = Knowledge(
+        era=tell.era or 0, revision=tell.revision or 0, version=tell.version or 0
+    )
+    if tell.era is None:
+        # A VM of an earlier build: its revision can't be compared, so that its changes
+        # aren't used and it can't replace a VM that watches.
+        knowledge = Knowledge()
+        standing = Standing.LISTENS if standing is Standing.WATCHES else standing
     return PeerStatus(
         vm=tell.vm,
         run=tell.run,
         is_leaving=tell.leaving,
-        revision=tell.revision or 0,
-        configuration=tell.configuration or 0,
-        standing=Standing(tell.standing or 0),
+        knowledge=knowledge,
+        standing=standing,
         interval=float(tell.interval or 0),
     )
--- a/lagoonlatch/entry/process.py
+++ b/lagoonlatch/entry/process.py
@@ -23,6 +23,7 @@
     Started,
     Stopped,
     Stopping,
+    StoreEraOdd,
     TaskFailed,
 )
 from lagoonlatch.entry.exchange import AnswerMemoryLimit
@@ -58,6 +59,8 @@
 from lagoonlatch.logs import configure_logs
 from lagoonlatch.platform.endpoint import Endpoint
 from lagoonlatch.platform.kv import KeyValueStore
+from lagoonlatch.platform.operator_keys import EVACUATION_PREFIX
+from lagoonlatch.platform.registrations import ROSTER_PREFIX, VM_PREFIX
 from lagoonlatch.platform.settings_file import VmSettings
 from lagoonlatch.steering.admission import Admission
 from lagoonlatch.steering.allowances import Allowances
@@ -108,6 +111,9 @@
 PERIODIC_TASKS_INTERVAL: Millis = HEARTBEAT_INTERVAL
 """Interval of the short periodic tasks, which share one timer."""
 
+MAX_LOGGED_ERA = 40
+"""Number of characters of an unreadable era that are logged."""
+
 OFFER_INTERVAL: Millis = 50.0
 """How often free slots are offered to waiting requests, in addition to the offers made
 when a slot becomes free."""
@@ -125,7 +131,7 @@
         self._metrics = EntryMetrics(settings.vm, settings.data_centre)
         self._clock = Clock()
         self._store = KeyValueStore.from_address(
-            settings.store_address, self._metrics.store_called
+            settings.store_address, self._metrics.store_called, self._report_odd_era
         )
         self._stop_requested = Event()
         self._connections: set[CallerConnection] = set()
@@ -202,7 +208,7 @@
             delay_first_read=settings.is_first_start,
         )
         self._registration = Registration(
-            self._store, self._own_record, outage_detector, clock
+            self._store, self._own_record, self._is_listed, outage_detector, clock
         )
         self._cold_start_limiter = ColdStartLimiter(
             settings.vm, lambda: self._facts.vms_by_id, clock
@@ -333,7 +339,29 @@
         add("configuration_version", "Version in force", self._configuration_version)
         add("store_revision", "Up to which facts are known", self._store_revision)
         add(
-            "store_era", "Latest era that the store has stated", lambda: self._store.era
+            "store_era",
+            "Number of the store's restores up to which facts are known",
+            lambda: self._replica.era,
+        )
+        add(
+            "vms_held",
+            "In force though the restored store lacks their entries",
+            lambda: self._facts.missing_count(VM_PREFIX),
+        )
+        add(
+            "roster_held",
+            "VMs in the roster though the restored store lacks their lines",
+            lambda: self._facts.missing_count(ROSTER_PREFIX),
+        )
+        add(
+            "evacuations_held",
+            "In force though the restored store lacks them",
+            lambda: self._facts.missing_count(EVACUATION_PREFIX),
+        )
+        add(
+            "entries_older",
+            "Entries of the restored store that are ignored as older",
+            self._facts.older_count,
         )
         add("store_failing_milliseconds", "0 if it answers", self._sync.failing_for)
         add(
@@ -376,6 +404,15 @@
         add("waiting_requests", "Waiting for a slot", lambda: len(self._waiting_queue))
         add("caller_connections", "Open", lambda: len(self._connections))
 
+    def _report_odd_era(self, text: str) -> None:
+        self._metrics.odd_era_received()
+        emit(StoreEraOdd(era=text[:MAX_LOGGED_ERA]))
+
+    def _is_listed(self) -> bool:
+        """Return whether the store shows the entry of this process."""
+        entry = self._facts.vms_by_id.get(self._own_record.id)
+        return entry is not None and entry.run == self._own_record.run
+
     def _configuration_version(self) -> int:
         return self._facts.rules.version if self._facts.rules is not None else 0
 
@@ -480,7 +517,7 @@
     def _run_periodic_tasks(self) -> None:
         while True:
             gevent.sleep(PERIODIC_TASKS_INTERVAL / MILLIS_PER_SECOND)
-            self._facts.remove_missing_upstreams()
+            self._replica.settle()
             self._pool.prune()
             self._neighbours.expect_heartbeats(
                 NEAR_ROUNDS.heartbeat_interval(len(self._neighbours.near)),
--- a/lagoonlatch/entry/propagation.py
+++ b/lagoonlatch/entry/propagation.py
@@ -12,6 +12,7 @@
     MAX_PIECE_BYTES,
     PatchAssembler,
     decode_batch,
+    decode_behind,
     encode_batch,
     encode_patch,
     split_batch,
@@ -64,9 +65,9 @@
         self._send = send
         self._on_behind = on_behind
         self._assembler = PatchAssembler()
-        self._near_revision = 0
-        self._near_configuration_revision = 0
-        self._far_since: int | None = None
+        self._near_position = (0, 0)
+        self._near_version = 0
+        self._far_since: tuple[int, int] | None = None
         self._far_base: int | None = None
 
     def propagate(self, batch: Batch) -> None:
@@ -77,7 +78,9 @@
             since=batch.since,
             until=batch.until,
             changes=others,
-            configuration_revision=self._replica.newest_configuration_revision,
+            era=batch.era,
+            configuration_version=self._replica.newest_configuration_version,
+            configuration_revision=self._replica.configuration_revision,
             hold_left=self._replica.hold_left(),
         )
         versions = self._replica.versions
@@ -92,40 +95,45 @@
         They are relayed to a partition of the region or, later, to the whole region; if
         `spread` is None, they are not relayed.
         """
+        if wire_batch.era is None:
+            # A VM of an earlier build; its revisions can't be compared.
+            return
         batch = decode_batch(wire_batch)
         if spread is not None:
             self._relay_to_partition(wire.Datagram(batch=wire_batch), spread)
             if spread.is_far:
-                self._send_to_region_later(since=batch.since)
+                self._send_to_region_later(since=(batch.era, batch.since))
             else:
-                self._near_revision = max(self._near_revision, batch.until)
-        if not self._replica.apply_batch(batch) or self._lacks_configuration():
+                until = (batch.era, batch.until)
+                self._near_position = max(self._near_position, until)
+        if not self._replica.apply_batch(batch) or self._replica.lacks_configuration:
             self._on_behind()
 
     def handle_patch(self, piece: wire.Patch, spread: wire.Spread | None) -> None:
         """Add a piece of a patch from another VM, and relay it as in `handle_batch`."""
+        if piece.version is None:
+            return
         if spread is not None:
             self._relay_to_partition(wire.Datagram(patch=piece), spread)
             if spread.is_far:
-                self._send_to_region_later(base=piece.base)
+                self._send_to_region_later(base=piece.base_version or 0)
             else:
-                self._near_configuration_revision = max(
-                    self._near_configuration_revision, piece.revision
-                )
+                self._near_version = max(self._near_version, piece.version)
         patch = self._assembler.add(piece)
         if patch is not None and not self._replica.apply_patch(patch):
             self._on_behind()
 
     def answer(self, query: wire.Behind) -> list[wire.Datagram]:
-        """Return the datagrams that bring another VM up to this VM's revisions."""
+        """Return the datagrams that bring another VM up to this VM's knowledge."""
         replica = self._replica
+        known = decode_behind(query, replica)
         batch = patch = None
-        if replica.revision > query.revision:
-            batch = replica.batch_since(query.revision)
+        if replica.knowledge.position > known.position:
+            batch = replica.batch_since(known.revision, known.era)
             if batch is None:
                 return [wire.Datagram(large=wire.Large(replica.revision))]
-        if replica.configuration_revision > query.configuration:
-            patch = replica.versions.patch_from(query.configuration)
+        if replica.configuration_version > known.version:
+            patch = replica.versions.patch_from(known.version)
         if batch is None and patch is None:
             return []
         datagrams = _encode(batch, patch)
@@ -133,12 +141,6 @@
             return [wire.Datagram(large=wire.Large(replica.revision))]
         return datagrams
 
-    def _lacks_configuration(self) -> bool:
-        return (
-            self._replica.newest_configuration_revision
-            > self._replica.configuration_revision
-        )
-
     def _send_near(self, datagrams: Iterable[wire.Datagram]) -> None:
         near_by_id = {vm.id: vm for vm in self._neighbours.near}
         ready_ids = [vm.id for vm in self._neighbours.ready() if vm.id in near_by_id]
@@ -178,14 +180,16 @@
         self._send(members, _with_spread(datagram, wire.Spread(0, 0, False)))
 
     def _send_to_region_later(
-        self, since: int | None = None, base: int | None = None
+        self, since: tuple[int, int] | None = None, base: int | None = None
     ) -> None:
         """Send changes from another region to this one later, unless a VM here does.
 
         Parameters
         ----------
-        since, base : int or None
-            Revision after which the changes begin, or on which the patch is based.
+        since : tuple of int or None
+            Era and revision after which the changes begin.
+        base : int or None
+            Version on which the patch is based.
         """
         is_scheduled = self._far_since is not None or self._far_base is not None
         if since is not None:
@@ -200,15 +204,14 @@
         self._far_since = self._far_base = None
         replica = self._replica
         batch = patch = None
-        if since is not None and replica.revision > max(since, self._near_revision):
-            batch = replica.batch_since(max(since, self._near_revision))
-        if (
-            base is not None
-            and replica.configuration_revision > self._near_configuration_revision
-        ):
+        position = replica.knowledge.position
+        if since is not None and position > max(since, self._near_position):
+            era, revision = max(since, self._near_position)
+            batch = replica.batch_since(revision, era)
+        if base is not None and replica.configuration_version > self._near_version:
             patch = replica.versions.patch_from(base)
         if batch is not None or patch is not None:
-            self._near_revision = max(self._near_revision, replica.revision)
+            self._near_position = max(self._near_position, position)
             self._send_near(_encode(batch, patch))
 
 
--- a/lagoonlatch/entry/registration.py
+++ b/lagoonlatch/entry/registration.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import replace
 
 import gevent
@@ -11,14 +12,15 @@
 from lagoonlatch.entry.events import RegistrationFailed
 from lagoonlatch.entry.journal import emit
 from lagoonlatch.entry.outage import OutageDetector
-from lagoonlatch.platform.kv import KeyValueStore, Write
+from lagoonlatch.platform.kv import KeyValueStore, Lease, Write
 from lagoonlatch.platform.registrations import (
     ROSTER_PREFIX,
     VM_PREFIX,
+    decode_vm,
     encode_roster,
     encode_vm,
 )
-from lagoonlatch.platform.store import StoreError, StoreLeaseEnded
+from lagoonlatch.platform.store import StoreConflict, StoreError, StoreLeaseEnded
 from lagoonlatch.steering.model import VmRecord
 
 LEASE_DURATION: Millis = 5_000.0
@@ -31,22 +33,40 @@
 RETRY_INTERVAL: Millis = 500.0
 """Pause before a failed call is retried."""
 
+MAX_MISSED_RENEWALS = 2
+"""Number of renewals after which an entry that the store doesn't show is written again.
+A change of the store reaches all VMs between two renewals."""
+
 
 class Registration:
-    """Keep the entry of this VM alive under a lease, and its id in the roster."""
+    """Keep the entry of this VM alive under a lease, and its id in the roster.
+
+    A restored store may lack the entry, and give the id of the lease to another VM.
+    Each VM notices the new era at its next renewal, so that VMs write their entries
+    again at different times.
+
+    Parameters
+    ----------
+    is_listed : callable
+        Returns whether the store contains the entry, as far as this VM knows.
+    """
 
     def __init__(
         self,
         store: KeyValueStore,
         record: VmRecord,
+        is_listed: Callable[[], bool],
         outage_detector: OutageDetector,
         clock: Clock,
     ) -> None:
         self._store = store
         self._outage_detector = outage_detector
         self._record = record
+        self._is_listed = is_listed
         self._clock = clock
-        self._lease: int | None = None
+        self._lease: Lease | None = None
+        self._revision = 0
+        self._missed_renewals = 0
         self._is_deregistered = False
 
     def run(self) -> None:
@@ -55,11 +75,31 @@
             gevent.sleep(self._step() / MILLIS_PER_SECOND)
 
     def deregister(self) -> None:
-        """Revoke the lease of this VM, so that no more callers are sent to it."""
+        """Remove the entry of this VM, so that no more callers are sent to it.
+
+        The lease isn't ended: after a restore, another VM may have one of its id.
+        """
         self._is_deregistered = True
-        self._record = replace(self._record, is_ready=False)
-        if self._lease is not None:
-            self._log_failure("leave", self._store.revoke_lease(self._lease))
+        if self._lease is None:
+            return
+        key = f"{VM_PREFIX}{self._record.id}"
+        removed = self._store.delete_if(key, self._revision)
+        if isinstance(removed, Failure) and isinstance(
+            removed.failure(), StoreConflict
+        ):
+            # A restored store contains the entry at another revision, or lacks it.
+            current = removed.failure().current
+            if current is None or not self._is_own(current.key, current.value):
+                return
+            removed = self._store.delete_if(key, current.revision)
+        self._log_failure("leave", removed)
+
+    def _is_own(self, key: str, value: bytes) -> bool:
+        return (
+            decode_vm(key, value)
+            .map(lambda record: record.run == self._record.run)
+            .value_or(False)
+        )
 
     def _step(self) -> Millis:
         if self._lease is None:
@@ -68,6 +108,14 @@
         renewed = self._store.renew_lease(self._lease)
         if not isinstance(renewed, Failure):
             self._outage_detector.note_success()
+            self._missed_renewals = (
+                0 if self._is_listed() else self._missed_renewals + 1
+            )
+            if self._missed_renewals >= MAX_MISSED_RENEWALS:
+                # For example, a write of an earlier era was carried out after the
+                # restore and has put the entry under another VM's lease.
+                self._lease = None
+                return 0.0
             return RENEW_INTERVAL
         self._log_failure("renew", renewed)
         if isinstance(renewed.failure(), StoreLeaseEnded):
@@ -82,18 +130,21 @@
         if isinstance(granted, Failure):
             self._log_failure("grant", granted)
             return RETRY_INTERVAL
+        if self._is_deregistered:
+            return 0.0
         lease = granted.unwrap()
-        id_ = self._record.id
+        record = replace(self._record, era=lease.era)
         written = self._store.put_all(
             [
-                Write(f"{ROSTER_PREFIX}{id_}", encode_roster(self._record.data_centre)),
-                Write(f"{VM_PREFIX}{id_}", encode_vm(self._record), lease),
+                Write(f"{ROSTER_PREFIX}{record.id}", encode_roster(record.data_centre)),
+                Write(f"{VM_PREFIX}{record.id}", encode_vm(record), lease),
             ]
         )
         if isinstance(written, Failure):
             self._log_failure("register", written)
             return RETRY_INTERVAL
-        self._lease = lease
+        self._lease, self._revision = lease, written.unwrap()
+        self._missed_renewals = 0
         return RENEW_INTERVAL
 
     def _log_failure(self, step: str, result: Result[object, StoreError]) -> None:
--- a/lagoonlatch/entry/replica.py
+++ b/lagoonlatch/entry/replica.py
@@ -1,6 +1,9 @@
 """The copy of the store's content that this VM keeps.
 
-Its changes come from this VM's own calls to the store or from other VMs.
+Its changes come from this VM's own calls to the store or from other VMs. They are
+ordered by era and revision: the store may be restored from a copy, which begins a new
+era and gives out revisions again. What the copy lacks or brings back is settled by
+`Facts`. The configuration is ordered by its version alone.
 """
 
 from __future__ import annotations
@@ -10,11 +13,14 @@
 from dataclasses import dataclass
 
 from lagoonlatch.clock import Clock, Millis
+from lagoonlatch.entry.events import StoreRestored
 from lagoonlatch.entry.facts import Facts
+from lagoonlatch.entry.journal import emit
 from lagoonlatch.entry.versions import Patch, VersionHistory
 from lagoonlatch.platform.kv import Change
-from lagoonlatch.platform.operator_keys import CONFIGURATION_KEY
+from lagoonlatch.platform.operator_keys import CONFIGURATION_KEY, decode_version
 from lagoonlatch.platform.store import Entry
+from lagoonlatch.steering.knowledge import Knowledge
 
 RETENTION: Millis = 20_000.0
 """How long changes are kept for VMs that missed them; the store keeps its history as
@@ -31,7 +37,7 @@
     """All changes of the store between two revisions.
 
     A batch from another VM leaves out the configuration, which may be large and must
-    not delay the other changes. The batch holds the revision of the configuration
+    not delay the other changes. The batch holds the version of the configuration
     instead, and the configuration itself is sent as a `Patch`.
 
     Parameters
@@ -39,8 +45,12 @@
     since, until : int
         Revisions of the store. The batch includes changes of `until` but not those of
         `since`.
+    era : int
+        Era to which both revisions belong.
+    configuration_version : int
+        Version of the newest configuration; 0 if none is known.
     configuration_revision : int
-        Revision of the newest configuration; 0 if none is known.
+        Its revision, for VMs of earlier builds.
     hold_left : Millis
         How long upstreams whose entries are gone are still held after an outage.
     """
@@ -48,6 +58,8 @@
     since: int
     until: int
     changes: tuple[Change, ...]
+    era: int = 0
+    configuration_version: int = 0
     configuration_revision: int = 0
     hold_left: Millis = 0.0
 
@@ -63,9 +75,9 @@
 
     Attributes
     ----------
-    revision : int
-        Revision of the store up to which all changes are known, except those of the
-        configuration; 0 before the first snapshot.
+    era, revision : int
+        Era, and revision of the store in it up to which all changes are known, except
+        those of the configuration; 0 before the first snapshot.
     versions : VersionHistory
         The recent configurations of this VM.
     """
@@ -76,9 +88,10 @@
         clock: Clock,
         is_outage_possible: Callable[[], bool] = lambda: True,
     ) -> None:
+        self.era = 0
         self.revision = 0
         self.versions = VersionHistory()
-        self._known_configuration_revision = 0
+        self._known_version = 0
         self._early_batches: list[Batch] = []
         self._facts = facts
         self._is_outage_possible = is_outage_possible
@@ -86,24 +99,38 @@
         self._batches: deque[tuple[Millis, Batch]] = deque()
 
     @property
-    def configuration_revision(self) -> int:
-        """Revision of the configuration in force; 0 before the first."""
+    def knowledge(self) -> Knowledge:
+        """What this VM knows of the store."""
+        return Knowledge(
+            era=self.era, revision=self.revision, version=self.configuration_version
+        )
+
+    @property
+    def configuration_version(self) -> int:
+        """Version of the configuration in force; 0 before the first."""
         return self.versions.newest
 
     @property
-    def newest_configuration_revision(self) -> int:
-        """Revision of the newest configuration that is known to exist."""
-        return max(self.configuration_revision, self._known_configuration_revision)
+    def configuration_revision(self) -> int:
+        """Revision at which the configuration in force was written; 0 if unknown."""
+        return self.versions.revision_of(self.versions.newest)
 
-    def note_latest_revisions(self, revision: int, configuration_revision: int) -> None:
-        """Mark the facts as current if the given revisions are known here.
+    @property
+    def newest_configuration_version(self) -> int:
+        """Version of the newest configuration that is known to exist."""
+        return max(self.configuration_version, self._known_version)
 
-        The store, or a VM that watches it, reported them as the newest ones.
+    @property
+    def lacks_configuration(self) -> bool:
+        """Whether a later configuration than the one in force is known to exist."""
+        return self._known_version > self.configuration_version
+
+    def note_latest(self, knowledge: Knowledge) -> None:
+        """Mark the facts as current if this VM lacks nothing of `knowledge`.
+
+        The store, or a VM that watches it, reported it as the newest.
         """
-        if (
-            revision <= self.revision
-            and configuration_revision <= self.configuration_revision
-        ):
+        if not self.knowledge.lacks(knowledge):
             self._facts.note_current()
 
     def entries(self) -> list[Entry]:
@@ -114,35 +141,75 @@
         """Return how long upstreams whose entries are gone are still held."""
         return self._facts.hold_left()
 
+    def settle(self) -> None:
+        """Remove or apply what was held after an outage or a restore, once it is due.
+
+        This method is called at intervals.
+        """
+        self._facts.remove_missing_upstreams()
+        self._facts.settle_restored_entries()
+        self._note_configuration_in_force()
+
     def apply_snapshot(
-        self, entries: Sequence[Entry], revision: int, hold_left: Millis = 0.0
-    ) -> None:
-        """Replace all facts by a snapshot, unless a later revision is known.
+        self,
+        entries: Sequence[Entry],
+        revision: int,
+        era: int = 0,
+        hold_left: Millis = 0.0,
+        told_by: str = "store",
+    ) -> bool:
+        """Replace all facts by a snapshot; return False if a later one is known.
 
         Parameters
         ----------
+        era : int
+            Era to which `revision` belongs.
         hold_left : Millis
             As in `Batch`, if another VM sent the snapshot.
+        told_by : str
+            Who sent the snapshot, for the log.
         """
         self._hold_missing_upstreams(hold_left)
-        if revision < self.revision:
+        if (era, revision) < (self.era, self.revision):
             # The store answered slowly and other VMs have sent later changes since. The
             # snapshot would bring back entries that those changes removed.
-            return
-        self._facts.apply_snapshot(entries)
+            return False
+        if self.revision and era > self.era:
+            emit(
+                StoreRestored(
+                    told_by=told_by,
+                    known_era=self.era,
+                    known_revision=self.revision,
+                    era=era,
+                    revision=revision,
+                )
+            )
+            self._facts.apply_restored_snapshot(entries)
+        else:
+            self._facts.apply_snapshot(entries, era)
+        if era > self.era:
+            self._early_batches.clear()
         for entry in entries:
             if entry.key == CONFIGURATION_KEY:
-                self.versions.note(entry.revision, entry.value)
-        self.revision = revision
+                self._known_version = max(
+                    self._known_version, decode_version(entry.value).value_or(0)
+                )
+        self._note_configuration_in_force()
+        self.era, self.revision = era, revision
         self._batches.clear()
+        return True
 
     def apply_batch(self, batch: Batch) -> bool:
         """Apply changes; return False if earlier changes are missing.
 
         A batch that arrives too early is kept until the earlier ones have arrived.
+        Batches of an earlier era arrive late and are ignored; before a batch of a later
+        era, a snapshot of that era is missing.
         """
-        if not self.revision:
+        if not self.revision or batch.era > self.era:
             return False
+        if batch.era < self.era:
+            return True
         if batch.since > self.revision:
             if len(self._early_batches) < MAX_EARLY_BATCHES:
                 self._early_batches.append(batch)
@@ -160,17 +227,20 @@
         """Put a configuration in force; return False if the patch can't be applied."""
         if not self.revision:
             return False
-        if patch.revision <= self.configuration_revision:
+        if patch.version <= self.configuration_version:
             return True
         text = self.versions.apply(patch)
         if text is None:
-            self._note_configuration_revision(patch.revision)
+            self._note_version(patch.version)
             return False
-        self._put_in_force(Change(CONFIGURATION_KEY, text, patch.revision))
+        self._facts.put_configuration_in_force(text, patch.revision)
+        self._note_configuration_in_force()
         return True
 
-    def batch_since(self, revision: int) -> Batch | None:
+    def batch_since(self, revision: int, era: int = 0) -> Batch | None:
         """Return all changes after `revision`; None if some are not known."""
+        if era != self.era:
+            return None
         if revision == self.revision:
             later_batches = []
         else:
@@ -183,36 +253,35 @@
             since=revision,
             until=self.revision,
             changes=tuple(c for batch in later_batches for c in batch.changes),
-            configuration_revision=self.newest_configuration_revision,
+            era=self.era,
+            configuration_version=self.newest_configuration_version,
+            configuration_revision=self.configuration_revision,
             hold_left=self.hold_left(),
         )
 
     def _apply_in_order(self, batch: Batch) -> None:
-        self._note_configuration_revision(batch.configuration_revision)
+        self._note_version(batch.configuration_version)
         if batch.until <= self.revision:
             return
         new_changes = tuple(c for c in batch.changes if c.revision > self.revision)
         other_changes = tuple(c for c in new_changes if c.key != CONFIGURATION_KEY)
         self._hold_missing_upstreams(batch.hold_left)
-        self._facts.apply_changes(other_changes)
-        for change in new_changes:
-            if change.key == CONFIGURATION_KEY:
-                self._put_in_force(change)
+        self._facts.apply_changes(new_changes)
+        self._note_configuration_in_force()
         applied_batch = Batch(
-            since=self.revision, until=batch.until, changes=other_changes
+            since=self.revision, until=batch.until, changes=other_changes, era=self.era
         )
         self.revision = batch.until
         self._retain(applied_batch)
 
-    def _put_in_force(self, change: Change) -> None:
-        if change.value is not None and change.revision > self.configuration_revision:
-            self._facts.apply_changes([change])
-            self.versions.note(change.revision, change.value)
+    def _note_configuration_in_force(self) -> None:
+        in_force = self._facts.configuration
+        if in_force is not None and self._facts.rules is not None:
+            version = self._facts.rules.version
+            self.versions.note(version, in_force.value, in_force.revision)
 
-    def _note_configuration_revision(self, configuration_revision: int) -> None:
-        self._known_configuration_revision = max(
-            self._known_configuration_revision, configuration_revision
-        )
+    def _note_version(self, version: int) -> None:
+        self._known_version = max(self._known_version, version)
 
     def _hold_missing_upstreams(self, hold_left: Millis) -> None:
         # A VM that was cut off from the store mistakes that for an outage of the store,
--- a/lagoonlatch/entry/sync.py
+++ b/lagoonlatch/entry/sync.py
@@ -26,6 +26,7 @@
 from lagoonlatch.entry.replica import Batch, StoreReplica
 from lagoonlatch.platform.kv import HistoryGone, KeyValueStore, Watch
 from lagoonlatch.platform.store import StoreError
+from lagoonlatch.steering.knowledge import Knowledge
 from lagoonlatch.steering.watchers import ROUND_LENGTH_IN_SETTLE_TIMES, Standing
 
 MAX_WATCH_WAIT: Millis = 25_000.0
@@ -111,8 +112,9 @@
         self._failing_since: Millis | None = None
         self._retry_delay = MIN_RETRY_DELAY
         self._watch_wanted = Event()
-        self._watched_since: int | None = None
+        self._watched_since: tuple[int, int] | None = None
         self._lagging_since: Millis | None = None
+        self._behind_era_since: Millis | None = None
         self._was_interrupted = False
         self.is_pausing = False
 
@@ -145,18 +147,34 @@
         changes for `MAX_WATCH_LAG`; a working watch would have reported them.
         """
         self._check_watch_lag()
+        self._check_era()
         if not self._watch_wanted.is_set() and self._should_watch():
             self._watch_wanted.set()
 
+    def _check_era(self) -> None:
+        """Read a snapshot if the store was restored and no VM has sent the changes."""
+        now = self._clock.now()
+        if not self._replica.revision or self._store.era <= self._replica.era:
+            self._behind_era_since = None
+        elif self._behind_era_since is None:
+            self._behind_era_since = now
+        elif now - self._behind_era_since >= MAX_WATCH_LAG:
+            self._behind_era_since = None
+            self._needs_snapshot = True
+            self._watch_wanted.set()
+            if self._watched_since is not None:
+                self._was_interrupted = True
+                self._watch.interrupt()
+
     def _check_watch_lag(self) -> None:
         since, now = self._watched_since, self._clock.now()
-        if since is None or self._replica.revision <= since:
+        if since is None or self._replica.knowledge.position <= since:
             self._lagging_since = None
         elif self._lagging_since is None:
             self._lagging_since = now
         elif now - self._lagging_since >= MAX_WATCH_LAG and not self._was_interrupted:
             self._was_interrupted = True
-            emit(WatchSilent(since=since, revision=self._replica.revision))
+            emit(WatchSilent(since=since[1], revision=self._replica.revision))
             self._watch.interrupt()
 
     def _step(self) -> None:
@@ -187,25 +205,30 @@
             return snapshot.failure()
         self._note_success()
         found = snapshot.unwrap()
-        if found.revision < self._replica.revision:
+        known = self._replica.knowledge
+        if not self._replica.apply_snapshot(found.entries, found.revision, found.era):
             emit(
                 SnapshotIgnored(
                     era=found.era,
                     revision=found.revision,
-                    known_era=0,
-                    known_revision=self._replica.revision,
+                    known_era=known.era,
+                    known_revision=known.revision,
                 )
             )
-        self._replica.apply_snapshot(found.entries, found.revision)
-        self._replica.note_latest_revisions(found.revision, 0)
+            if found.era < known.era:
+                # An answer of the store before it was restored.
+                gevent.sleep(MIN_RETRY_DELAY / MILLIS_PER_SECOND)
+                return None
+        self._replica.note_latest(Knowledge(era=found.era, revision=found.revision))
         self._needs_snapshot = False
         return None
 
     def _wait_for_changes(self) -> StoreError | None:
         self._set_standing(Standing.WATCHES)
         since = self._replica.revision
+        position = self._replica.knowledge.position
         wait = min(self._next_wait(self._single_watcher_wait), MAX_WATCH_WAIT)
-        self._watched_since, self._lagging_since = since, None
+        self._watched_since, self._lagging_since = position, None
         try:
             changes = self._watch.wait_for_changes(since, wait)
         finally:
@@ -227,12 +250,22 @@
             return error
         self._note_success()
         found = changes.unwrap()
-        batch = Batch(since=since, until=found.revision, changes=found.changes)
+        if found.era > self._replica.era:
+            # The changes don't follow those that this VM knows.
+            self._needs_snapshot = True
+            return None
+        batch = Batch(
+            since=since, until=found.revision, changes=found.changes, era=found.era
+        )
         self._replica.apply_batch(batch)
-        self._replica.note_latest_revisions(
-            found.revision, self._replica.newest_configuration_revision
+        self._replica.note_latest(
+            Knowledge(
+                era=found.era,
+                revision=found.revision,
+                version=self._replica.newest_configuration_version,
+            )
         )
-        if found.changes:
+        if found.changes and found.era == self._replica.era:
             self._propagate(batch)
             self.is_pausing = True
             gevent.sleep(WATCH_PAUSE / MILLIS_PER_SECOND)
--- a/lagoonlatch/entry/versions.py
+++ b/lagoonlatch/entry/versions.py
@@ -2,7 +2,8 @@
 
 A version differs from its predecessor in few bytes, so a change of hundreds of
 organisations fits into a datagram. A receiver verifies the patched version by its
-digest.
+digest. Versions are identified by the numbers that the operators give them, since a
+restored store gives out its revisions again.
 """
 
 from __future__ import annotations
@@ -36,54 +37,72 @@
 
     Parameters
     ----------
-    revision, base : int
-        Revisions of the store at which the new version and its base were written. If
-        `base` is 0, `data` holds the whole version.
+    version, base : int
+        Numbers of the new version and its base. If `base` is 0, `data` holds the whole
+        version.
     data : bytes
         The new version, compressed with the base as dictionary.
     digest : bytes
         Digest of the new version.
+    revision, base_revision : int
+        Revisions of the store at which both were written, for VMs of earlier builds.
     """
 
-    revision: int
+    version: int
     base: int
     data: bytes
     digest: bytes
+    revision: int = 0
+    base_revision: int = 0
 
 
 class VersionHistory:
-    """The newest versions, by the store revision at which each was written.
+    """The newest versions, by number.
 
     Attributes
     ----------
     newest : int
-        Revision of the newest version; 0 before the first.
+        Number of the newest version; 0 before the first.
     """
 
     def __init__(self) -> None:
         self.newest = 0
-        self._version_by_revision: OrderedDict[int, bytes] = OrderedDict()
+        self._text_by_version: OrderedDict[int, bytes] = OrderedDict()
+        self._revision_by_version: dict[int, int] = {}
         self._patch_by_base: dict[int, Patch] = {}
 
     @property
     def previous(self) -> int:
-        """Revision of the version before the newest one; 0 if it isn't known."""
-        revisions = list(self._version_by_revision)
-        return revisions[-2] if len(revisions) > 1 else 0
-
-    def note(self, revision: int, version: bytes) -> None:
+        """Number of the version before the newest one; 0 if it isn't known."""
+        versions = list(self._text_by_version)
+        return versions[-2] if len(versions) > 1 else 0
+
+    def revision_of(self, version: int) -> int:
+        """Return the revision at which a version was written; 0 if it isn't known."""
+        return self._revision_by_version.get(version, 0)
+
+    def find(self, revision: int) -> int:
+        """Return the number of the version written at a revision; 0 if unknown."""
+        for version, known_revision in self._revision_by_version.items():
+            if known_revision == revision:
+                return version
+        return 0
+
+    def note(self, version: int, text: bytes, revision: int = 0) -> None:
         """Keep a version, unless a later one is known."""
-        if revision <= self.newest:
+        if version <= self.newest:
             return
-        self.newest = revision
+        self.newest = version
         self._patch_by_base.clear()
-        versions = self._version_by_revision
-        versions[revision] = version
-        while len(versions) > 1 and (
-            len(versions) > MAX_VERSIONS
-            or sum(map(len, versions.values())) > MAX_HISTORY_BYTES
+        texts = self._text_by_version
+        texts[version] = text
+        self._revision_by_version[version] = revision
+        while len(texts) > 1 and (
+            len(texts) > MAX_VERSIONS
+            or sum(map(len, texts.values())) > MAX_HISTORY_BYTES
         ):
-            versions.popitem(last=False)
+            dropped, _ = texts.popitem(last=False)
+            del self._revision_by_version[dropped]
 
     def patch_from(self, base: int) -> Patch | None:
         """Return a patch from `base` to the newest version.
@@ -93,60 +112,57 @@
         """
         if not self.newest:
             return None
-        base_version = self._version_by_revision.get(base)
-        base = base if base_version is not None else 0
+        base_text = self._text_by_version.get(base)
+        base = base if base_text is not None else 0
         if base not in self._patch_by_base:
-            self._patch_by_base[base] = _make_patch(
-                self.newest,
-                self._version_by_revision[self.newest],
-                base,
-                base_version or b"",
-            )
+            self._patch_by_base[base] = self._make_patch(base, base_text or b"")
         return self._patch_by_base[base]
 
     def apply(self, patch: Patch) -> bytes | None:
         """Return the patched version; None if the patch can't be applied."""
-        base_version = self._version_by_revision.get(patch.base) if patch.base else b""
-        if base_version is None:
+        base_text = self._text_by_version.get(patch.base) if patch.base else b""
+        if base_text is None:
             return None
         decompressor = zstandard.ZstdDecompressor(
-            dict_data=_dictionary(base_version), max_window_size=MAX_VERSION_BYTES
+            dict_data=_dictionary(base_text), max_window_size=MAX_VERSION_BYTES
         )
         try:
             # The decompressor allocates the size that the frame header states, so the
             # header is checked first.
             if zstandard.frame_content_size(patch.data) > MAX_VERSION_BYTES:
                 return None
-            version = decompressor.decompress(
+            text = decompressor.decompress(
                 patch.data, max_output_size=MAX_VERSION_BYTES
             )
         except zstandard.ZstdError:
             return None
-        return version if _digest(version) == patch.digest else None
-
+        return text if _digest(text) == patch.digest else None
 
-def _make_patch(revision: int, version: bytes, base: int, base_version: bytes) -> Patch:
-    parameters = zstandard.ZstdCompressionParameters.from_level(
-        COMPRESSION_LEVEL, source_size=len(version), dict_size=len(base_version)
-    )
-    compressor = zstandard.ZstdCompressor(
-        dict_data=_dictionary(base_version), compression_params=parameters
-    )
-    return Patch(
-        revision=revision,
-        base=base,
-        data=compressor.compress(version),
-        digest=_digest(version),
-    )
+    def _make_patch(self, base: int, base_text: bytes) -> Patch:
+        text = self._text_by_version[self.newest]
+        parameters = zstandard.ZstdCompressionParameters.from_level(
+            COMPRESSION_LEVEL, source_size=len(text), dict_size=len(base_text)
+        )
+        compressor = zstandard.ZstdCompressor(
+            dict_data=_dictionary(base_text), compression_params=parameters
+        )
+        return Patch(
+            version=self.newest,
+            base=base,
+            data=compressor.compress(text),
+            digest=_digest(text),
+            revision=self.revision_of(self.newest),
+            base_revision=self.revision_of(base),
+        )
 
 
-def _dictionary(base_version: bytes) -> zstandard.ZstdCompressionDict | None:
-    if not base_version:
+def _dictionary(base_text: bytes) -> zstandard.ZstdCompressionDict | None:
+    if not base_text:
         return None
     return zstandard.ZstdCompressionDict(
-        base_version, dict_type=zstandard.DICT_TYPE_RAWCONTENT
+        base_text, dict_type=zstandard.DICT_TYPE_RAWCONTENT
     )
 
 
-def _digest(version: bytes) -> bytes:
-    return hashlib.blake2b(version, digest_size=_DIGEST_BYTES).digest()
+def _digest(text: bytes) -> bytes:
+    return hashlib.blake2b(text, digest_size=_DIGEST_BYTES).digest()
--- a/lagoonlatch/platform/kv.py
+++ b/lagoonlatch/platform/kv.py
@@ -37,7 +37,7 @@
 _TURNED_AWAY = frozenset({403, 429, 503})
 
 _ERA_FIELD = "store-era"
-_MAX_ERA_DIGITS = 18
+_MAX_ERA_DIGITS = 9
 
 M = TypeVar("M")
 
@@ -57,6 +57,10 @@
     pass
 
 
+def _ignore_era(_text: str) -> None:
+    pass
+
+
 @dataclass(frozen=True)
 class HistoryGone:
     """The store no longer holds the changes since the revision asked for."""
@@ -106,13 +110,21 @@
     revision: int
 
 
+@dataclass(frozen=True)
+class Lease:
+    """A lease; a restored store gives out the ids of earlier ones again."""
+
+    id: int
+    era: int = 0
+
+
 @dataclass(frozen=True)
 class Write:
     """An entry to write; with `lease` it is removed when the lease ends."""
 
     key: str
     value: bytes
-    lease: int = 0
+    lease: Lease | None = None
 
 
 class _Item(msgspec.Struct):
@@ -141,26 +153,58 @@
     items: list[_Item | None] = []
 
 
-class _Lease(msgspec.Struct):
+class _LeaseGranted(msgspec.Struct):
     lease: int
 
 
+@dataclass(frozen=True)
+class _StoreAnswer:
+    """A whole answer of the store, and its era."""
+
+    status: int
+    body: bytes
+    era: int
+
+
+class _Eras:
+    """The eras that the store states in its answers.
+
+    Attributes
+    ----------
+    latest : int
+        The highest era so far; 0 if the store states none.
+    """
+
+    def __init__(self, report_odd: Callable[[str], None]) -> None:
+        self.latest = 0
+        self._report_odd = report_odd
+
+    def read(self, answer: Answer) -> int:
+        """Return the era of an answer, the latest one if it states none."""
+        text = answer.headers.get(_ERA_FIELD)
+        if text is None:
+            return self.latest
+        if not (text.isascii() and text.isdigit() and len(text) <= _MAX_ERA_DIGITS):
+            self._report_odd(text)
+            return self.latest
+        era = int(text)
+        self.latest = max(self.latest, era)
+        return era
+
+
 class _Observed:
     """Connections that report each call and the store's era in each answer."""
 
     def __init__(
-        self,
-        connections: Connections,
-        observe: Observer,
-        note_era: Callable[[int], None],
+        self, connections: Connections, observe: Observer, eras: _Eras
     ) -> None:
         self._connections = connections
         self._observe = observe
-        self._note_era = note_era
+        self._eras = eras
 
     def call(
         self, method: str, path: str, body: bytes = b"", timeout: Millis | None = None
-    ) -> Result[Answer, CallFailed]:
+    ) -> Result[_StoreAnswer, CallFailed]:
         started = time.monotonic()
         outcome = self._connections.call(method, path, body, timeout)
         name = path.strip("/").partition("?")[0].partition("/")[0]
@@ -170,7 +214,9 @@
         elapsed = (time.monotonic() - started) * MILLIS_PER_SECOND
         self._observe(_NAME_BY_CALL.get(name, name), result, elapsed)
         if isinstance(outcome, Success):
-            self._note_era(_era_of(outcome.unwrap()) or 0)
+            answer = outcome.unwrap()
+            era = self._eras.read(answer)
+            return Success(_StoreAnswer(answer.status, answer.body, era))
         return outcome
 
     def interrupt(self) -> None:
@@ -189,25 +235,37 @@
         The store.
     observe : callable
         Is told each call's name, whether it was answered, and how long it took.
-
-    Attributes
-    ----------
-    era : int
-        The latest era of the store in any answer.
+    report_odd_era : callable
+        Is called with each era in an answer that can't be read.
     """
 
-    def __init__(self, endpoint: Endpoint, observe: Observer = _ignore) -> None:
-        self.era = 0
+    def __init__(
+        self,
+        endpoint: Endpoint,
+        observe: Observer = _ignore,
+        report_odd_era: Callable[[str], None] = _ignore_era,
+    ) -> None:
         self._endpoint = endpoint
         self._observe = observe
+        self._eras = _Eras(report_odd_era)
         self._connections = _Observed(
-            Connections(endpoint, CALL_TIMEOUT), observe, self._note_era
+            Connections(endpoint, CALL_TIMEOUT), observe, self._eras
         )
 
     @classmethod
-    def from_address(cls, address: str, observe: Observer = _ignore) -> KeyValueStore:
+    def from_address(
+        cls,
+        address: str,
+        observe: Observer = _ignore,
+        report_odd_era: Callable[[str], None] = _ignore_era,
+    ) -> KeyValueStore:
         """Return the store at ``IP:port``."""
-        return cls(Endpoint.from_address(address), observe)
+        return cls(Endpoint.from_address(address), observe, report_odd_era)
+
+    @property
+    def era(self) -> int:
+        """The highest era that the store has stated in any answer, 0 if none."""
+        return self._eras.latest
 
     def read_prefix(self, prefix: str) -> Result[Snapshot, StoreError]:
         """Return all entries whose keys begin with `prefix`."""
@@ -222,7 +280,7 @@
             page = _read_read(outcome, _Range)
             if isinstance(page, Failure):
                 return page
-            found, page_era = page.unwrap(), _era_of(outcome.unwrap())
+            found, page_era = page.unwrap(), outcome.unwrap().era
             if era not in (None, page_era):
                 return Failure(StoreUnavailable("restored while it was read"))
             era = page_era
@@ -236,22 +294,27 @@
 
     def open_watch(self, prefix: str, longest_wait: Millis) -> Watch:
         """Return a watch of `prefix`, whose calls wait up to `longest_wait`."""
-        return Watch(
-            self._endpoint, prefix, longest_wait, self._observe, self._note_era
-        )
+        return Watch(self._endpoint, prefix, longest_wait, self._observe, self._eras)
 
-    def put(self, key: str, value: bytes, lease: int = 0) -> Result[int, StoreError]:
-        """Write `value` and return its revision."""
+    def put(
+        self, key: str, value: bytes, lease: Lease | None = None
+    ) -> Result[int, StoreError]:
+        """Write `value` and return its revision; StoreLeaseEnded as in `put_all`."""
         return self._transact({"writes": [_write(key, value, lease)]}, key, lease)
 
     def put_all(self, writes: Sequence[Write]) -> Result[int, StoreError]:
-        """Write all entries or none and return their revision."""
+        """Write all entries or none and return their revision.
+
+        The failure is StoreLeaseEnded if the lease has ended. If the store was restored
+        since it granted the lease, the entries may have been written under another
+        lease of the same id.
+        """
         body = {"writes": [_write(w.key, w.value, w.lease) for w in writes]}
-        lease = max(write.lease for write in writes)
+        lease = next((w.lease for w in writes if w.lease is not None), None)
         return self._transact(body, writes[0].key, lease)
 
     def put_if(
-        self, key: str, value: bytes, revision: int, lease: int = 0
+        self, key: str, value: bytes, revision: int, lease: Lease | None = None
     ) -> Result[int, StoreError]:
         """Write `value` if `key` still has `revision` (0: absent)."""
         body = {
@@ -263,34 +326,31 @@
     def delete_if(self, key: str, revision: int) -> Result[int, StoreError]:
         """Delete `key` if it still has `revision`."""
         body = {"expect_rev": [{"key": key, "rev": revision}], "remove": [key]}
-        return self._transact(body, key, 0)
+        return self._transact(body, key, None)
 
     def delete(self, key: str) -> Result[int, StoreError]:
         """Delete `key`."""
-        return self._transact({"remove": [key]}, key, 0)
+        return self._transact({"remove": [key]}, key, None)
 
-    def grant_lease(self, duration: Millis) -> Result[int, StoreError]:
-        """Return the id of a new lease of `duration`."""
+    def grant_lease(self, duration: Millis) -> Result[Lease, StoreError]:
+        """Return a new lease of `duration`."""
         body = msgspec.json.encode({"ttl_s_time": duration / MILLIS_PER_SECOND})
         outcome = self._connections.call("POST", "/kv-lease", body)
-        return _read_write(outcome, _Lease, 0).map(lambda lease: lease.lease)
+        return _read_write(outcome, _LeaseGranted, None).map(
+            lambda granted: Lease(granted.lease, outcome.unwrap().era)
+        )
 
-    def renew_lease(self, lease: int) -> Result[None, StoreError]:
-        """Extend a lease; StoreLeaseEnded if it has ended."""
-        outcome = self._connections.call("POST", f"/kv-keep/{lease}", b"{}")
-        return _read_write(outcome, dict, lease).map(lambda _: None)
+    def renew_lease(self, lease: Lease) -> Result[None, StoreError]:
+        """Extend a lease; StoreLeaseEnded if it has ended.
 
-    def revoke_lease(self, lease: int) -> Result[None, StoreError]:
-        """End a lease now."""
-        outcome = self._connections.call("DELETE", f"/kv-lease-end/{lease}")
-        if isinstance(outcome, Success) and outcome.unwrap().status == _OK:
-            return Success(None)
+        A lease of an earlier era has ended, even if another one has its id now.
+        """
+        outcome = self._connections.call("POST", f"/kv-keep/{lease.id}", b"{}")
         return _read_write(outcome, dict, lease).map(lambda _: None)
 
-    def _note_era(self, era: int) -> None:
-        self.era = max(self.era, era)
-
-    def _transact(self, body: object, key: str, lease: int) -> Result[int, StoreError]:
+    def _transact(
+        self, body: object, key: str, lease: Lease | None
+    ) -> Result[int, StoreError]:
         outcome = self._connections.call("POST", "/kv-txn", msgspec.json.encode(body))
         if isinstance(outcome, Success) and outcome.unwrap().status == _CONFLICT:
             return Failure(StoreConflict(key, _found(outcome.unwrap().body, key)))
@@ -306,11 +366,11 @@
         prefix: str,
         longest_wait: Millis,
         observe: Observer,
-        note_era: Callable[[int], None],
+        eras: _Eras,
     ) -> None:
         self._prefix = prefix
         connections = Connections(endpoint, longest_wait + WATCH_MARGIN, size=1)
-        self._connections = _Observed(connections, observe, note_era)
+        self._connections = _Observed(connections, observe, eras)
 
     def wait_for_changes(
         self, revision: int, wait: Millis
@@ -329,7 +389,7 @@
             lambda found: Changes(
                 tuple(_change(item) for item in found.events),
                 found.store_revision,
-                _era_of(outcome.unwrap()) or 0,
+                outcome.unwrap().era,
             )
         )
 
@@ -342,8 +402,8 @@
         self._connections.close()
 
 
-def _write(key: str, value: bytes, lease: int) -> dict[str, object]:
-    return {"key": key, "value": value, "lease": lease}
+def _write(key: str, value: bytes, lease: Lease | None) -> dict[str, object]:
+    return {"key": key, "value": value, "lease": lease.id if lease is not None else 0}
 
 
 def _change(item: _Item) -> Change:
@@ -355,18 +415,11 @@
     path: str,
     query: dict[str, str],
     timeout: Millis | None = None,
-) -> Result[Answer, CallFailed]:
+) -> Result[_StoreAnswer, CallFailed]:
     text = urlencode({name: value for name, value in query.items() if value}, safe="/")
     return connections.call("GET", f"{path}?{text}", timeout=timeout)
 
 
-def _era_of(answer: Answer) -> int | None:
-    """Return the store's era in an answer, 0 if it has none; None if unreadable."""
-    text = answer.headers.get(_ERA_FIELD, "0")
-    is_readable = text.isascii() and text.isdigit() and len(text) <= _MAX_ERA_DIGITS
-    return int(text) if is_readable else None
-
-
 def _found(body: bytes, key: str) -> Entry | None:
     try:
         conflict = msgspec.json.decode(body, type=_Conflict)
@@ -379,16 +432,13 @@
 
 
 def _read_read(
-    outcome: Result[Answer, CallFailed], kind: type[M]
+    outcome: Result[_StoreAnswer, CallFailed], kind: type[M]
 ) -> Result[M, StoreError]:
     if isinstance(outcome, Failure):
         return Failure(StoreUnavailable(outcome.failure().reason))
     answer = outcome.unwrap()
     if answer.status != _OK:
         return Failure(StoreUnavailable(_describe(answer)))
-    if _era_of(answer) is None:
-        era = answer.headers[_ERA_FIELD]
-        return Failure(StoreUnavailable(f"unreadable answer: era {era!r}"))
     try:
         return Success(msgspec.json.decode(answer.body, type=kind))
     except CONVERSION_ERRORS as error:
@@ -396,15 +446,15 @@
 
 
 def _read_write(
-    outcome: Result[Answer, CallFailed], kind: type[M], lease: int
+    outcome: Result[_StoreAnswer, CallFailed], kind: type[M], lease: Lease | None
 ) -> Result[M, StoreError]:
     if isinstance(outcome, Failure):
         failed = outcome.failure()
         error = StoreOutcomeUnknown if failed.sent else StoreUnavailable
         return Failure(error(failed.reason))
     answer = outcome.unwrap()
-    if answer.status == _NOT_FOUND and lease:
-        return Failure(StoreLeaseEnded(lease))
+    if lease is not None and (answer.status == _NOT_FOUND or answer.era > lease.era):
+        return Failure(StoreLeaseEnded(lease.id))
     if answer.status in _TURNED_AWAY:
         return Failure(StoreUnavailable(_describe(answer)))
     if answer.status != _OK:
@@ -415,5 +465,5 @@
         return Failure(StoreOutcomeUnknown(f"unreadable answer: {error}"))
 
 
-def _describe(answer: Answer) -> str:
+def _describe(answer: _StoreAnswer) -> str:
     return f"HTTP {answer.status}: {answer.body[:200].decode(errors='replace')}"
--- a/lagoonlatch/platform/registrations.py
+++ b/lagoonlatch/platform/registrations.py
@@ -33,6 +33,7 @@
     state: Literal["ready", "draining"]
     cold_left_s: _ColdSeconds = 0.0
     born: _Instant = 0
+    seq: _Int64 = 0
 
 
 class _Vm(msgspec.Struct):
@@ -41,6 +42,7 @@
     peer_address: str
     run: _Int64
     ready: bool
+    era: _Int64 | None = None
 
 
 class _Place(msgspec.Struct):
@@ -64,6 +66,7 @@
             is_draining=wire.state == "draining",
             cold_left=max(wire.cold_left_s, 0.0) * MILLIS_PER_SECOND,
             born=float(wire.born),
+            sequence=wire.seq,
         )
     )
 
@@ -90,6 +93,7 @@
             peer_address=record.peer_address,
             run=record.run,
             ready=record.is_ready,
+            era=record.era,
         )
     )
 
@@ -110,5 +114,6 @@
             peer_address=wire.peer_address,
             run=wire.run,
             is_ready=wire.ready,
+            era=wire.era,
         )
     )
--- a/lagoonlatch/standins/kv_store.py
+++ b/lagoonlatch/standins/kv_store.py
@@ -21,6 +21,8 @@
 from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
 from lagoonlatch.registry import Registry
 
+ERA_FIELD = "Store-Era"
+
 PAGE = 500
 """Items of one page."""
 
@@ -183,7 +185,7 @@
         headers = [
             ("Content-Type", "application/json"),
             ("Content-Length", str(len(data))),
-            ("Store-Era", str(self.era)),
+            (ERA_FIELD, str(self.era)),
         ]
         start(f"{status} {status}", headers)
         return [data]
--- a/lagoonlatch/steering/model.py
+++ b/lagoonlatch/steering/model.py
@@ -185,6 +185,8 @@
         Remaining time as a cold upstream when the record was written.
     born : Millis
         Wall-clock time of its start; 0 if it is unknown.
+    sequence : int
+        Rises with each entry that this run of the upstream writes.
     """
 
     id: str
@@ -195,6 +197,12 @@
     is_draining: bool
     cold_left: Millis
     born: Millis
+    sequence: int = 0
+
+    @property
+    def order(self) -> tuple[float, int]:
+        """Orders what the upstream has published, whatever the store's revisions."""
+        return self.born, self.sequence
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -212,6 +220,8 @@
         clock was set back.
     is_ready : bool
         Whether it is ready to accept requests of callers.
+    era : int or None
+        Era of the store in which the entry was written; None if it isn't stated.
     """
 
     id: str
@@ -220,3 +230,9 @@
     peer_address: str
     run: int
     is_ready: bool
+    era: int | None = None
+
+    @property
+    def order(self) -> tuple[float, int]:
+        """Orders what the VM has published, whatever the store's revisions."""
+        return self.run, 0
--- a/lagoonlatch/steering/peers.py
+++ b/lagoonlatch/steering/peers.py
@@ -11,6 +11,7 @@
 from typing import TypeVar
 
 from lagoonlatch.clock import Clock, Millis
+from lagoonlatch.steering.knowledge import Knowledge
 from lagoonlatch.steering.watchers import Standing
 
 STATUS_MAX_AGE: Millis = 1_000.0
@@ -79,10 +80,8 @@
     run : int
         Number of the run of the VM's process. Later runs have higher numbers unless the
         wall clock was set back.
-    revision : int
-        Revision of the store up to which the VM knows all changes.
-    configuration : int
-        Revision at which the VM's configuration was written.
+    knowledge : Knowledge
+        What the VM knows of the store.
     standing : Standing
         How the VM learns the content of the store.
     interval : Millis
@@ -92,8 +91,7 @@
     vm: str
     run: int
     is_leaving: bool
-    revision: int = 0
-    configuration: int = 0
+    knowledge: Knowledge = Knowledge()
     standing: Standing = Standing.LISTENS
     interval: Millis = 0.0
 
@@ -152,13 +150,12 @@
             if self.is_alive(vm)
         }
 
-    def ahead_of(self, revision: int, configuration: int) -> list[str]:
+    def ahead_of(self, knowledge: Knowledge) -> list[str]:
         """Return the VMs that know later store changes or a later configuration."""
         return [
             vm
             for vm, status in self._status_by_vm.items()
-            if (status.revision > revision or status.configuration > configuration)
-            and self._is_current(vm)
+            if knowledge.lacks(status.knowledge) and self._is_current(vm)
         ]
 
     def _age(self, vm: str) -> Millis:
--- a/tests/entry/test_catch_up.py
+++ b/tests/entry/test_catch_up.py
@@ -109,7 +109,7 @@
 def test_a_configuration_known_only_by_revision_is_queried():
     """Load: the patch was lost, and no VM has reported a later revision yet."""
     vm = Vm()
-    vm.replica.apply_batch(batch(10, 12, configuration_revision=11))
+    vm.replica.apply_batch(batch(10, 12, configuration_version=4))
     querier = Querier(vm, ["a"])
     client = CatchUpClient(
         vm.replica,
@@ -128,7 +128,7 @@
 def test_a_watching_vm_queries_a_configuration_that_its_watch_missed():
     """CONFIG: changes from other VMs had advanced its replica, but not the patch."""
     vm = Vm()
-    vm.replica.apply_batch(batch(10, 12, configuration_revision=11))
+    vm.replica.apply_batch(batch(10, 12, configuration_version=4))
     querier = Querier(vm, ["a"])
     querier.client._sync.is_pausing = True
     querier.run_until(lambda: querier.queried)
@@ -151,7 +151,11 @@
     monkeypatch.setattr(
         catch_up,
         "_read_since",
-        lambda _peer, *known: Success(server.read_since(*known)),
+        lambda _peer, behind: Success(
+            server.read_since(
+                behind.revision, behind.configuration, behind.era, behind.version
+            )
+        ),
     )
     CatchUpClient(vm.replica, FakeSync(), list, list, print, vm.clock)._call("a")
 
@@ -209,6 +213,6 @@
 
 def test_a_call_of_an_up_to_date_vm_returns_nothing():
     vm = Vm()
-    answer = CatchUpServer(vm.replica).read_since(10, 8)
+    answer = CatchUpServer(vm.replica).read_since(10, 8, 0, 3)
     assert answer == wire.Reading()
     assert encode_batch(vm.replica.batch_since(10)).changes == []
--- a/tests/entry/test_codec.py
+++ b/tests/entry/test_codec.py
@@ -27,7 +27,7 @@
         Change(f"servers/{revision}", bytes(size), revision)
         for size, revision in zip(sizes, revisions, strict=True)
     )
-    return Batch(since=10, until=5_000, changes=changes, configuration_revision=9)
+    return Batch(since=10, until=5_000, changes=changes, configuration_version=9)
 
 
 @pytest.mark.parametrize("seed", range(20))
@@ -61,9 +61,9 @@
     assert split_batch(make_batch([])) == [make_batch([])]
 
 
-def make_patch(size, revision=5):
+def make_patch(size, version=5):
     data = random.Random(size).randbytes(size)
-    return Patch(revision=revision, base=3, data=data, digest=b"d")
+    return Patch(version=version, base=3, data=data, digest=b"d")
 
 
 @pytest.mark.parametrize("size", [0, 1, MAX_PIECE_BYTES, MAX_PIECE_BYTES + 1, 50_000])
@@ -79,6 +79,6 @@
 
 def test_the_number_of_incomplete_patches_is_bounded():
     assembler = PatchAssembler()
-    for revision in range(100):
-        assembler.add(next(encode_patch(make_patch(20_000, revision))))
+    for version in range(100):
+        assembler.add(next(encode_patch(make_patch(20_000, version))))
     assert len(assembler._pieces_by_patch) <= MAX_INCOMPLETE_PATCHES
--- a/tests/entry/test_peers.py
+++ b/tests/entry/test_peers.py
@@ -86,17 +86,19 @@
     "a tell without fields": wire.Datagram(tell=wire.Tell()),
     "an ask without tokens": wire.Datagram(ask=wire.Ask(organisation="o")),
     "a loan without tokens": wire.Datagram(loan=wire.Loan(number=1)),
-    "a batch without changes": wire.Datagram(batch=wire.Batch(since=1, until=2)),
+    "a batch without changes": wire.Datagram(batch=wire.Batch(since=1, until=2, era=0)),
     "a suspect without deaths": wire.Datagram(suspect=wire.Suspect(fingerprint="f")),
     "a claim without a count": wire.Datagram(claim=wire.Claim(vm="v", upstream="u1")),
     "counts of nothing": wire.Datagram(counts=wire.Counts(vm="v")),
     "room without an upstream": wire.Datagram(room=wire.Room()),
-    "a patch without pieces": wire.Datagram(patch=wire.Patch(revision=1, data=b"x")),
+    "a patch without pieces": wire.Datagram(
+        patch=wire.Patch(revision=1, data=b"x", version=9)
+    ),
     "a patch with too many pieces": wire.Datagram(
-        patch=wire.Patch(1, 0, b"x", b"", piece=0, pieces=2**31 - 1)
+        patch=wire.Patch(1, 0, b"x", b"", piece=0, pieces=2**31 - 1, version=9)
     ),
     "a patch with invalid data": wire.Datagram(
-        patch=wire.Patch(99, 0, b"x", b"", piece=0, pieces=1)
+        patch=wire.Patch(99, 0, b"x", b"", piece=0, pieces=1, version=99)
     ),
     "a behind without revisions": wire.Datagram(behind=wire.Behind()),
     "a large without a revision": wire.Datagram(large=wire.Large()),
--- a/tests/entry/test_propagation.py
+++ b/tests/entry/test_propagation.py
@@ -25,9 +25,10 @@
     CatchUpServer,
     _apply_answer,
 )
+from lagoonlatch.entry.codec import encode_behind
 from lagoonlatch.entry.facts import Facts
 from lagoonlatch.entry.generated import ttypes as wire
-from lagoonlatch.entry.peers import MAX_DATAGRAM_BYTES
+from lagoonlatch.entry.peers import MAX_DATAGRAM_BYTES, _decode_tell
 from lagoonlatch.entry.propagation import ChangePropagator
 from lagoonlatch.entry.replica import StoreReplica
 from lagoonlatch.platform.kv import Change
@@ -91,7 +92,7 @@
         self.sent = Counter()
         self.bytes = Counter()
         self.known_at = {}
-        self.revisions_by_peer = {}
+        self.knowledge_by_peer = {}
         self.start()
 
     @property
@@ -117,7 +118,7 @@
         self.facts = facts
         self.replica = StoreReplica(facts, clock)
         self.replica.apply_snapshot(self.fleet.entries, self.fleet.first_revision)
-        self.revisions_by_peer = {}
+        self.knowledge_by_peer = {}
         self.propagator = ChangePropagator(
             self.replica, self, self.send_all, lambda: self.note_behind()
         )
@@ -141,11 +142,11 @@
     def addresses(self):
         return [vm.id for vm in self.near]
 
-    def ahead(self, revision, configuration):
+    def ahead(self, knowledge):
         found = [
             vm
-            for vm, reported in self.revisions_by_peer.items()
-            if reported[0] > revision or reported[1] > configuration
+            for vm, reported in self.knowledge_by_peer.items()
+            if knowledge.lacks(reported)
         ]
         near = {vm.id for vm in self.near}
         return sorted(found, key=lambda vm: vm not in near)
@@ -162,18 +163,21 @@
         other = self.fleet.members_by_id[peer]
         if self.is_cut_off or other.is_cut_off:
             return
+        behind = encode_behind(self.replica)
 
         def send_answer():
             found = CatchUpServer(other.replica).read_since(
-                self.replica.revision, self.replica.configuration_revision
+                behind.revision, behind.configuration, behind.era, behind.version
             )
             size = len(serialize(found, PROTOCOL))
-            self.fleet.carry(other, self, size, lambda: self.apply_call_answer(found))
+            self.fleet.carry(
+                other, self, size, lambda: self.apply_call_answer(found, peer)
+            )
 
         self.fleet.schedule(4 * self.fleet.delay(self, other), send_answer)
 
-    def apply_call_answer(self, found):
-        _apply_answer(found, self.replica)
+    def apply_call_answer(self, found, peer):
+        _apply_answer(found, self.replica, peer)
         self.record_revisions()
 
     def receive(self, sender, datagram):
@@ -187,18 +191,18 @@
         if datagram.large is not None:
             self.call(sender.record.id)
         if datagram.tell is not None:
-            reported = (datagram.tell.revision, datagram.tell.configuration)
-            self.revisions_by_peer[sender.record.id] = reported
-            known = (self.replica.revision, self.replica.configuration_revision)
-            if reported[0] > known[0] or reported[1] > known[1]:
+            reported = _decode_tell(datagram.tell).knowledge
+            self.knowledge_by_peer[sender.record.id] = reported
+            if self.replica.knowledge.lacks(reported):
                 self.note_behind()
         self.record_revisions()
 
     def record_revisions(self):
         now = self.fleet.clock.now()
+        self.known_at.setdefault(("era", self.replica.era), now)
         self.known_at.setdefault(("revision", self.replica.revision), now)
         self.known_at.setdefault(
-            ("configuration", self.replica.configuration_revision), now
+            ("configuration", self.replica.configuration_version), now
         )
 
 
@@ -271,6 +275,8 @@
                 leaving=False,
                 revision=member.replica.revision,
                 configuration=member.replica.configuration_revision,
+                era=member.replica.era,
+                version=member.replica.configuration_version,
                 standing=0,
                 interval=250,
             )
@@ -348,7 +354,7 @@
     network.send_heartbeats()
     last = change_configurations(network)
     network.run(4_000.0)
-    median, worst = network.propagation_delays(("configuration", last))
+    median, worst = network.propagation_delays(("configuration", 7))
     assert median <= MAX_MEDIAN_DELAY_MS
     assert worst <= MAX_DELAY_MS_BY_COUNT[count]
     median, worst = network.propagation_delays(("revision", last + 1))
@@ -369,7 +375,7 @@
     network.run(4_000.0)
     _, worst = network.propagation_delays(("revision", last + 1))
     assert worst <= MAX_DELAY_MS_BY_COUNT[count]
-    _, worst = network.propagation_delays(("configuration", last))
+    _, worst = network.propagation_delays(("configuration", 7))
     assert worst <= MAX_DELAY_MS_BY_COUNT[count]
     for member in network.members:
         member.is_cut_off = False
@@ -388,7 +394,7 @@
     network.run(1_000.0)
     _, worst = network.propagation_delays(("revision", 12))
     assert worst <= 500.0
-    _, worst = network.propagation_delays(("configuration", 11))
+    _, worst = network.propagation_delays(("configuration", 4))
     assert worst <= 500.0
 
 
@@ -405,7 +411,7 @@
         batch(10, 12, configuration_change(make_config(4), 11), removed("i-1", 12))
     )
     network.run(1_000.0)
-    network.propagation_delays(("configuration", 11))
+    network.propagation_delays(("configuration", 4))
     assert max(m.sent["bytes"] for m in network.members) <= MAX_BYTES_PER_CHANGE
     assert max(m.sent["datagrams"] for m in network.members) <= MAX_DATAGRAMS_PER_CHANGE
 
@@ -434,7 +440,7 @@
         batch(10, 11, configuration_change(msgspec.json.encode(document), 11))
     )
     network.run(6_000.0)
-    _, worst = network.propagation_delays(("configuration", 11))
+    _, worst = network.propagation_delays(("configuration", 4))
     assert worst <= 4_000.0
 
 
--- a/tests/entry/test_replica.py
+++ b/tests/entry/test_replica.py
@@ -7,6 +7,7 @@
 from lagoonlatch.platform.kv import Change
 from lagoonlatch.platform.store import Entry
 from lagoonlatch.standins.manual_clock import ManualClock
+from lagoonlatch.steering.knowledge import Knowledge
 from tests.entry.test_facts import config, upstream
 from tests.steering.samples import make_upstream_table
 
@@ -125,7 +126,7 @@
     )
     passed = vm.replica.batch_since(10)
     assert [change.key for change in passed.changes] == ["servers/i-2"]
-    assert passed.configuration_revision == 11
+    assert passed.configuration_version == 4
 
 
 def test_changes_are_applied_before_their_configuration_arrives():
@@ -137,8 +138,8 @@
     vm.replica.apply_batch(ahead.replica.batch_since(10))
     assert vm.upstream_ids() == set()
     assert vm.facts.rules.version == 3
-    assert vm.replica.newest_configuration_revision == 11
-    assert vm.replica.apply_patch(ahead.replica.versions.patch_from(8))
+    assert vm.replica.newest_configuration_version == 4
+    assert vm.replica.apply_patch(ahead.replica.versions.patch_from(3))
     assert vm.facts.rules.version == 4
 
 
@@ -155,7 +156,7 @@
     vm = Vm()
     first = Vm().replica
     first.apply_batch(batch(10, 12, configuration_change(config(4), 12)))
-    patch = first.versions.patch_from(8)
+    patch = first.versions.patch_from(3)
     vm.replica.apply_batch(batch(10, 14, configuration_change(config(5), 14)))
     assert vm.replica.apply_patch(patch)
     assert vm.facts.rules.version == 5
@@ -175,12 +176,13 @@
 
 def test_the_age_of_the_facts_counts_from_their_last_confirmation(vm):
     vm.clock.advance(500.0)
-    vm.replica.note_latest_revisions(10, 8)
+    vm.replica.note_latest(Knowledge(revision=10, version=3))
     assert vm.facts.age() == 0.0
     vm.clock.advance(700.0)
-    vm.replica.note_latest_revisions(11, 8)
-    vm.replica.note_latest_revisions(10, 9)
+    vm.replica.note_latest(Knowledge(revision=11, version=3))
+    vm.replica.note_latest(Knowledge(revision=10, version=4))
+    vm.replica.note_latest(Knowledge(era=1, revision=1, version=3))
     assert vm.facts.age() == 700.0
     vm.replica.apply_batch(batch(10, 11, removed("i-1", 11)))
-    vm.replica.note_latest_revisions(11, 8)
+    vm.replica.note_latest(Knowledge(revision=11, version=3))
     assert vm.facts.age() == 0.0
--- a/tests/entry/test_sync.py
+++ b/tests/entry/test_sync.py
@@ -19,6 +19,7 @@
 
     def __init__(self, entries, revision):
         self.snapshot = Snapshot(tuple(entries), revision)
+        self.era = 0
         self.reads = 0
         self.answers = True
         self.interrupts = 0
--- a/tests/entry/test_versions.py
+++ b/tests/entry/test_versions.py
@@ -21,10 +21,10 @@
     return "\n".join(lines).encode()
 
 
-def make_history(*revisions):
+def make_history(*versions):
     history = VersionHistory()
-    for revision in revisions:
-        history.note(revision, make_version(revision))
+    for version in versions:
+        history.note(version, make_version(version))
     return history
 
 
@@ -50,7 +50,7 @@
     patch = make_history(3, 5).patch_from(3)
     data = bytearray(patch.data)
     data[generator.randrange(len(data))] = generator.randrange(256)
-    damaged = Patch(revision=5, base=3, data=bytes(data), digest=patch.digest)
+    damaged = Patch(version=5, base=3, data=bytes(data), digest=patch.digest)
     assert make_history(3).apply(damaged) in (None, make_version(5))
 
 
@@ -58,16 +58,16 @@
     import zstandard
 
     data = zstandard.ZstdCompressor().compress(b"\0" * (MAX_VERSION_BYTES + 1))
-    patch = Patch(revision=5, base=0, data=data, digest=b"")
+    patch = Patch(version=5, base=0, data=data, digest=b"")
     assert VersionHistory().apply(patch) is None
 
 
 def test_the_history_is_bounded():
     history = VersionHistory()
-    for revision in range(1, 40):
-        history.note(revision, bytes(1_000_000))
-    assert len(history._version_by_revision) <= MAX_VERSIONS
-    assert sum(map(len, history._version_by_revision.values())) <= MAX_HISTORY_BYTES
+    for version in range(1, 40):
+        history.note(version, bytes(1_000_000))
+    assert len(history._text_by_version) <= MAX_VERSIONS
+    assert sum(map(len, history._text_by_version.values())) <= MAX_HISTORY_BYTES
     history.note(50, bytes(MAX_HISTORY_BYTES * 2))
     assert history.newest == 50
     assert history.patch_from(49).base == 0
--- a/tests/platform/test_kv.py
+++ b/tests/platform/test_kv.py
@@ -18,6 +18,7 @@
     StoreOutcomeUnknown,
     StoreUnavailable,
 )
+from lagoonlatch.standins import kv_store
 from lagoonlatch.standins.kv_store import KvStoreStandin
 
 
@@ -103,15 +104,19 @@
     assert standin.keys() == ["vm/1"]
     gevent.sleep(0.4)
     assert standin.keys() == []
-    assert store.renew_lease(lease).failure() == StoreLeaseEnded(lease)
-    assert store.put("vm/1", b"x", lease).failure() == StoreLeaseEnded(lease)
+    assert store.renew_lease(lease).failure() == StoreLeaseEnded(lease.id)
+    assert store.put("vm/1", b"x", lease).failure() == StoreLeaseEnded(lease.id)
 
 
-def test_a_lease_can_be_ended(standin, store):
+def test_a_lease_of_an_earlier_era_has_ended(standin, store):
+    stored = standin.take_copy()
     lease = store.grant_lease(5_000.0).unwrap()
-    store.put("vm/1", b"x", lease).unwrap()
-    assert isinstance(store.revoke_lease(lease), Success)
-    assert standin.keys() == []
+    standin.restore(stored)
+    other = store.grant_lease(5_000.0).unwrap()
+    assert (other.id, other.era) == (lease.id, lease.era + 1)
+    assert store.renew_lease(lease).failure() == StoreLeaseEnded(lease.id)
+    assert store.put("vm/1", b"x", lease).failure() == StoreLeaseEnded(lease.id)
+    assert isinstance(store.renew_lease(other), Success)
 
 
 @pytest.mark.parametrize("status", [429, 503, 403])
@@ -190,8 +195,33 @@
     assert store.read_prefix("a/").unwrap().era == 2
 
 
-@pytest.mark.parametrize("era", ["two", "-1", "1.5", "٣", "9" * 30])
-def test_an_answer_with_an_unreadable_era_is_no_answer(standin, store, era):
+ODD_ERAS = ("two", "-1", "1.5", "٣", "9" * 30, "2, 3", "")
+
+
+@pytest.mark.parametrize("era", ODD_ERAS)
+def test_an_unreadable_era_is_reported_and_changes_nothing(standin, era):
+    odd = []
+    server = standin.serve()
+    store = KeyValueStore.from_address(
+        f"127.0.0.1:{server.server_port}", report_odd_era=odd.append
+    )
+    assert store.read_prefix("").unwrap().era == 1
     standin.era = era.encode().decode("latin-1")
-    reason = store.read_prefix("").failure().reason
-    assert "unreadable answer: era" in reason
+    assert store.read_prefix("").unwrap().era == 1
+    assert len(odd) == 1
+    standin.era = 2
+    assert store.read_prefix("").unwrap().era == 2
+    server.stop()
+
+
+@pytest.mark.parametrize("status", [429, 503, 404, 412])
+def test_a_refusal_also_states_the_era(standin, store, status):
+    standin.era = 7
+    standin.refuse_with = status
+    store.read_prefix("")
+    assert store.era == 7
+
+
+def test_a_store_without_eras_has_the_first(standin, store, monkeypatch):
+    monkeypatch.setattr(kv_store, "ERA_FIELD", "Another-Field")
+    assert store.read_prefix("").unwrap().era == 0
--- a/tests/steering/test_peers.py
+++ b/tests/steering/test_peers.py
@@ -1,6 +1,7 @@
 import pytest
 
 from lagoonlatch.standins.manual_clock import ManualClock
+from lagoonlatch.steering.knowledge import Knowledge
 from lagoonlatch.steering.peers import (
     ALIVE_WITHOUT_ENTRY_LIMIT,
     FIRST_HEARTBEAT_TIMEOUT,
@@ -65,12 +66,13 @@
 def test_vms_that_know_later_changes_are_returned():
     clock = ManualClock()
     table = PeerTable(clock)
-    table.update(make_status("vm1", revision=10))
-    table.update(make_status("vm2", revision=12, standing=Standing.WATCHES))
-    assert table.ahead_of(10, 0) == ["vm2"]
+    table.update(make_status("vm1", knowledge=Knowledge(revision=10)))
+    later = Knowledge(revision=12)
+    table.update(make_status("vm2", knowledge=later, standing=Standing.WATCHES))
+    assert table.ahead_of(Knowledge(revision=10)) == ["vm2"]
     assert table.standing_by_vm()["vm2"] is Standing.WATCHES
     clock.advance(2_000.0)
-    assert table.ahead_of(10, 0) == []
+    assert table.ahead_of(Knowledge(revision=10)) == []
     assert table.standing_by_vm() == {}
 
 
