Let the soak restore the store from a copy

The soak had no store that goes back, so it could not show the fault. The kind store_restored takes a copy, lets upstreams write, restores it and lets operators and upstreams write again what was lost; the platform removes entries of upstreams that have left. At the end each VM must have its entry and follow a last change (an upstream that drains).

--- a/lagoonlatch/standins/instance.py
+++ b/lagoonlatch/standins/instance.py
@@ -70,6 +70,7 @@
         self._work = work
         self._slots = slots
         self._running = 0
+        self._sequence = 0
         self._server: WSGIServer | None = None
 
     def start(self, host: str = "127.0.0.1", port: int = 0) -> None:
@@ -94,10 +95,14 @@
             "slots": self._slots,
             "state": state,
             "cold_left_s": 0,
-            "seq": 1,
+            "seq": self._next_sequence(),
             "born": self.born,
         }
 
+    def _next_sequence(self) -> int:
+        self._sequence += 1
+        return self._sequence
+
     def _respond(
         self, environ: dict[str, Any], start: Callable[..., Any]
     ) -> Iterable[bytes]:
--- a/lagoonlatch/standins/kv_store.py
+++ b/lagoonlatch/standins/kv_store.py
@@ -81,6 +81,7 @@
         self._oldest = 1
         self._revision = 1
         self._next_lease = 100
+        self._written_by_key: dict[str, bytes | None] = {}
         self._changed = Event()
         self.era = 1
         self.refuse_with: int | None = None
@@ -95,6 +96,8 @@
     def put(self, key: str, value: Any, lease: int = 0) -> int:
         """Write a value, JSON unless it is bytes, and return its revision."""
         data = value if isinstance(value, bytes) else msgspec.json.encode(value)
+        if not lease:
+            self._written_by_key[key] = data
         self._revision += 1
         known = self._items_by_key.get(key)
         created = known.created if known else self._revision
@@ -106,6 +109,8 @@
 
     def remove(self, key: str) -> None:
         """Remove a key."""
+        if key in self._written_by_key:
+            self._written_by_key[key] = None
         if self._items_by_key.pop(key, None) is not None:
             self._revision += 1
             self._note({"key": key, "rev": self._revision, "tombstone": True})
@@ -142,6 +147,18 @@
         self._changed.set()
         self._changed.clear()
 
+    def find_lost_writes(self, prefix: str) -> dict[str, bytes | None]:
+        """Return what was last written without a lease and is lost, by key.
+
+        The value is None if the key was removed.
+        """
+        stored = {key: item.value for key, item in self._items_by_key.items()}
+        return {
+            key: value
+            for key, value in self._written_by_key.items()
+            if key.startswith(prefix) and stored.get(key) != value
+        }
+
     def keys(self) -> list[str]:
         """Return all keys, sorted."""
         self._end_leases()
--- a/tests/soak/kinds.py
+++ b/tests/soak/kinds.py
@@ -19,6 +19,10 @@
 START: Millis = 2_500.0
 """A VM that starts is not yet in touch; others of the machine start beside it."""
 
+LOST_WRITES = 40
+"""Number of entries that upstreams write before the store is restored, so that its
+revision stays below the known one for a while."""
+
 Play = Callable[[World, random.Random, Millis], None]
 MakeFault = Callable[[random.Random], Fault]
 
@@ -188,6 +192,24 @@
         world.store.forget_history()
 
 
+@kind
+def store_restored(world: World, rng: random.Random, duration: Millis) -> None:
+    """Let the store go away and come back from a copy; then all is written again."""
+    stored = world.store.take_copy()
+    for _ in range(LOST_WRITES):
+        name = _any_instance(world, rng)
+        if not _is_busy(world, name):
+            instance = world.instances_by_id[name]
+            world.register(instance, world.data_centre_by_instance[name])
+    _sleep(duration)
+    with _Disturbed(world, "store_restored", *world.vms_by_id):
+        world.store.refuse_with = 503
+        _sleep(rng.uniform(0.0, 1_500.0))
+        world.store.restore(stored)
+        world.store.refuse_with = None
+    world.write_lost_entries_again(rng)
+
+
 @upstream_fault
 def upstream_cut(_rng: random.Random) -> Fault:
     """Reset connections and refuse new ones."""
--- a/tests/soak/planted.py
+++ b/tests/soak/planted.py
@@ -124,6 +124,31 @@
     SlotClient._home_of = lambda self, upstream: SimpleNamespace(id=self._me)
 
 
+@plant
+def era_ignored() -> None:
+    """Order what the store says by its revision alone, in all eras."""
+    from lagoonlatch.platform.kv import _Eras
+
+    _Eras.read = lambda self, answer: 0
+
+
+@plant
+def era_heeded_by_watchers_only() -> None:
+    """Follow a restored store only from its own watch, not from other VMs."""
+    from lagoonlatch.entry.replica import StoreReplica
+    from lagoonlatch.entry.sync import StoreSync
+
+    apply_snapshot = StoreReplica.apply_snapshot
+
+    def ignore_others(self, entries, revision, era=0, hold_left=0.0, told_by="store"):
+        if told_by != "store" and self.revision and era > self.era:
+            return False
+        return apply_snapshot(self, entries, revision, era, hold_left, told_by)
+
+    StoreReplica.apply_snapshot = ignore_others
+    StoreSync._check_era = lambda self: None
+
+
 @plant
 def cut_at_stop() -> None:
     """End at SIGTERM without answering what was taken."""
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -8,9 +8,10 @@
 import gevent
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Millis
+from lagoonlatch.platform.registrations import VM_PREFIX
 from lagoonlatch.standins.entry_fleet import ask
 from tests.soak.kinds import KINDS_BY_NAME
-from tests.soak.oracle import find_problems
+from tests.soak.oracle import DRAIN, find_problems
 from tests.soak.world import Caller, World, now
 
 CALLERS_BY_VM = 4
@@ -18,6 +19,9 @@
 LANES = 2
 """Faults that may overlap; within a lane one follows the other."""
 
+LAST_REQUESTS = 30
+"""Number of requests to each VM that show whether it uses an upstream."""
+
 RECOVERY: Millis = 6_000.0
 """After the last fault everything is served again within this."""
 
@@ -70,7 +74,12 @@
         for lane in gevent.joinall(lanes, raise_error=True):
             played += lane.value
         gevent.joinall(callers, raise_error=True)
-        problems = [*find_problems(world), *_unserved(world)]
+        problems = [
+            *find_problems(world),
+            *_unserved(world),
+            *_unregistered(world),
+            *_behind(world),
+        ]
         asked = world.history.asked
         return Verdict(
             seed=seed,
@@ -94,6 +103,35 @@
     return played
 
 
+def _unregistered(world: World) -> list[str]:
+    """Return the VMs whose entries the store lacks after all faults have ended."""
+    keys = world.store.keys()
+    return [
+        f"{vm} has no entry in the store after the last fault"
+        for vm in world.vms_by_id
+        if f"{VM_PREFIX}{vm}" not in keys
+    ]
+
+
+def _behind(world: World) -> list[str]:
+    """Return the VMs that miss a last change of the store, an upstream that leaves."""
+    name = min(world.instances_by_id)
+    instance = world.instances_by_id[name]
+    world.register(instance, world.data_centre_by_instance[name], "draining")
+    gevent.sleep(DRAIN / MILLIS_PER_SECOND)
+    fields = {"Authorization": f"Token {world.history.keys[-1][1]}"}
+    for vm in world.vms_by_id.values():
+        for number in range(LAST_REQUESTS):
+            cookie = f"Affinity-Key=last-{number}"
+            ask(vm, f"last-{vm.id}-{number}", Cookie=cookie, **fields)
+    reached = {request for _, request in instance.arrivals}
+    return [
+        f"{vm} does not know that {name} leaves"
+        for vm in world.vms_by_id
+        if any(f"last-{vm}-{number}" in reached for number in range(LAST_REQUESTS))
+    ]
+
+
 def _unserved(world: World) -> list[str]:
     """Return the VMs that don't serve after all faults have ended."""
     key = world.history.keys[-1][1]
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -42,6 +42,21 @@
     assert verdict.problems
 
 
+RESTORE_KINDS = ("store_restored", "keys_change", "upstream_leaves")
+RESTORE_PLANTS = ("era_ignored", "era_heeded_by_watchers_only")
+
+
+@pytest.mark.parametrize("planted", RESTORE_PLANTS)
+def test_a_vm_that_does_not_follow_a_restored_store_is_found(planted):
+    verdict = play(2, 10_000.0, planted=planted, kinds=RESTORE_KINDS)
+    assert verdict.problems
+
+
+def test_a_restored_store_is_followed():
+    verdict = play(2, 10_000.0, kinds=(*RESTORE_KINDS, "store_cut", "evacuation"))
+    assert not verdict.problems
+
+
 def test_wishes_of_upstreams_are_followed():
     verdict = play(7, 8_000.0, kinds=tuple(PLANTS.values()))
     assert not verdict.problems
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -9,9 +9,11 @@
 from dataclasses import dataclass, field
 
 import gevent
+import msgspec
 from gevent import socket
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Millis
+from lagoonlatch.platform.registrations import UPSTREAM_PREFIX
 from lagoonlatch.standins.entry_fleet import HOST, EntryFleet
 from lagoonlatch.standins.faults import FaultProxy, Forward
 from lagoonlatch.standins.instance import InstanceStandin
@@ -25,6 +27,9 @@
 PAUSE: Millis = 40.0
 """Between two requests of a caller, on average."""
 
+GHOST_LIFETIME: Millis = 3_000.0
+"""After this the platform removes an entry that its upstream doesn't renew."""
+
 DATA_CENTRES = ("n-a", "n-b", "s-a")
 
 
@@ -108,6 +113,34 @@
         self.data_centre_by_instance[instance.id] = data_centre
         super().register(instance, data_centre, state)
 
+    def write_lost_entries_again(self, rng: random.Random) -> None:
+        """Let operators and upstreams write again what a restored store has lost.
+
+        The platform removes entries of upstreams that have left some seconds later.
+        """
+        start = now()
+        for key in [*self.store.find_lost_writes("op/"), *self.instances_by_id]:
+            gevent.sleep(rng.uniform(0.0, 0.2))
+            key = f"{UPSTREAM_PREFIX}{key}" if key in self.instances_by_id else key
+            self._write_again(key)
+        gevent.sleep(max(GHOST_LIFETIME - (now() - start), 0.0) / MILLIS_PER_SECOND)
+        for key in self.store.find_lost_writes(UPSTREAM_PREFIX):
+            self._write_again(key, is_removal=True)
+
+    def _write_again(self, key: str, is_removal: bool = False) -> None:
+        lost = self.store.find_lost_writes(key)
+        if key not in lost:
+            return
+        value = lost[key]
+        if value is None and (is_removal or not key.startswith(UPSTREAM_PREFIX)):
+            self.store.remove(key)
+        elif value is not None and key.startswith(UPSTREAM_PREFIX):
+            instance = self.instances_by_id[key.removeprefix(UPSTREAM_PREFIX)]
+            state = msgspec.json.decode(value)["state"]
+            self.register(instance, self.data_centre_by_instance[instance.id], state)
+        elif value is not None:
+            self.store.put(key, value)
+
     def name_limit(self, instance: InstanceStandin, rate: float | None) -> None:
         """Let an upstream name a rate limit in its answers, or none."""
         self.history.limits.append((now(), instance.id, rate))
