Read numbers of thousands of digits in header fields as unreadable

An upstream's Server-Load or Keep-Alive with a number of more than 4,300 digits raised ValueError in the decoder, which ended the request that it answered. Found while the decoders were searched for the cause of the odd entries. Numbers of more than nine digits are now read as none.

test_no_number_in_a_field_raises_an_error failed before.

--- a/lagoonlatch/platform/headers.py
+++ b/lagoonlatch/platform/headers.py
@@ -173,6 +173,10 @@
     return [(name, value) for name, value in headers if name.lower() not in hidden]
 
 
+_MAX_DIGITS = 9
+"""Digits of a number in a field; a longer one can't be a count or a time."""
+
+
 def _rest(fields: HeaderList) -> tuple[Millis, str]:
     """Return the longest sound wish for rest, and what could not be decoded."""
     rest, odd = 0.0, ""
@@ -237,21 +241,27 @@
 def _load(value: bytes | None) -> UpstreamLoad | None:
     if value is None:
         return None
-    parts = value.split(b",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    numbers = [_whole_number(part) for part in value.split(b",")]
+    if len(numbers) != 3 or None in numbers:
         return None
-    running, waiting, slots = (int(part) for part in parts)
+    running, waiting, slots = numbers
     return UpstreamLoad(running=running, waiting=waiting, slots=slots)
 
 
 def _keep_alive(value: bytes) -> Millis | None:
     for part in value.split(b","):
         name, _, seconds = part.strip().partition(b"=")
-        if name.lower() == b"timeout" and seconds.strip().isdigit():
-            return int(seconds) * MILLIS_PER_SECOND
+        number = _whole_number(seconds)
+        if name.lower() == b"timeout" and number is not None:
+            return number * MILLIS_PER_SECOND
     return None
 
 
+def _whole_number(text: bytes) -> int | None:
+    digits = text.strip()
+    return int(digits) if digits.isdigit() and len(digits) <= _MAX_DIGITS else None
+
+
 def is_stamp(name: bytes) -> bool:
     """Return whether `name` (lower case) is the field by which an upstream signs."""
     return name == b"server-stamp"
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -1,4 +1,6 @@
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from lagoonlatch.platform.directory import encode_lookup_answer, read_lookup_query
 from lagoonlatch.platform.headers import (
@@ -111,3 +113,42 @@
 def test_rate_limit_of_an_upstream_is_not_passed_on_to_callers():
     headers = [(b"Server-Limit", b"2"), (b"Server-Stamp", b"s")]
     assert for_callers(200, headers) == [(b"Server-Stamp", b"s")]
+
+
+LONG_NUMBER = b"9" * 5_000
+NUMBERS = (LONG_NUMBER, b"-" + LONG_NUMBER, b"1e999", b"nan", b"0x1", b"1_0", b"")
+ANSWER_FIELDS = (
+    b"server-load",
+    b"keep-alive",
+    b"cold-ms",
+    b"retry-after",
+    b"server-limit",
+    b"instance-id",
+)
+REQUEST_FIELDS = (b"Deadline-Ms", b"Authorization", b"Cookie", b"Request-Id")
+
+
+@pytest.mark.parametrize("number", NUMBERS)
+def test_no_number_in_a_field_raises_an_error(number):
+    load = b",".join([number] * 3)
+    for name in ANSWER_FIELDS:
+        for value in (number, load, b"timeout=" + number):
+            fields = read_answer_fields([(name, value)], 503)
+            assert fields.load is None
+            assert fields.keep_alive is None
+    for name in REQUEST_FIELDS:
+        read_request_fields([(name.lower(), number)])
+
+
+@settings(max_examples=300, deadline=None)
+@given(
+    st.lists(
+        st.tuples(st.sampled_from(ANSWER_FIELDS + REQUEST_FIELDS), st.binary()),
+        max_size=5,
+    ),
+    st.sampled_from([200, 429, 503]),
+)
+def test_arbitrary_fields_raise_no_error(fields, status):
+    lower_case = [(name.lower(), value) for name, value in fields]
+    read_answer_fields(lower_case, status)
+    read_request_fields(lower_case)
