Test datagrams of builds without eras, and odd values in all parts of entries

VMs of builds without eras must neither send nor get datagrams that are rejected; what they say of the store is not used. Each part of each kind of entry is replaced by deeply nested values, long numbers and numbers beyond the types of the protocol between VMs. An error in a listener of the VMs' entries or of the roster is logged and ends no task.

--- a/lagoonlatch/entry/facts.py
+++ b/lagoonlatch/entry/facts.py
@@ -436,12 +436,20 @@
         if self._vms_have_changed:
             self._vms_have_changed = False
             for listener in self._vm_listeners:
-                listener()
+                self._call_listener(listener)
         if not self._roster_has_changed:
             return
         self._roster_has_changed = False
         for listener in self._roster_listeners:
-            listener(self.roster)
+            self._call_listener(listener, self.roster)
+
+    @staticmethod
+    def _call_listener(listener: Callable[..., None], *facts: object) -> None:
+        try:
+            listener(*facts)
+        except Exception as error:
+            # Any exception: one entry must not end the task that follows the store.
+            emit(EntryFailed(entry="", why=repr(error)))
 
     def _update_rules(self, entry: Entry) -> LogEvent | None:
         decoded = decode_configuration(entry.value)
--- a/tests/entry/test_malformed_entries.py
+++ b/tests/entry/test_malformed_entries.py
@@ -8,13 +8,23 @@
 import signal
 
 import gevent
+import pytest
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
+from lagoonlatch.clock import MILLIS_PER_SECOND
+from lagoonlatch.decoding import MAX_INT64
 from lagoonlatch.entry import facts as facts_module
 from lagoonlatch.entry.facts import Facts
+from lagoonlatch.entry.replica import StoreReplica
 from lagoonlatch.platform.kv import Change
-from lagoonlatch.platform.registrations import ROSTER_PREFIX, VM_PREFIX
+from lagoonlatch.platform.registrations import (
+    MAX_COLD_SECONDS,
+    MAX_SLOTS,
+    ROSTER_PREFIX,
+    VM_PREFIX,
+)
+from lagoonlatch.platform.store import Entry
 from lagoonlatch.standins.entry_fleet import EntryFleet, ask
 from lagoonlatch.standins.manual_clock import ManualClock
 from tests.entry.test_process import eventually
@@ -65,8 +75,15 @@
     "op/config": CONFIGURATION,
     "op/evacuate/n-a": {},
     "servers/i-1": UPSTREAM,
-    f"{VM_PREFIX}vm-1": {"id": "vm-1", "zone": "n-a"},
-    f"{ROSTER_PREFIX}vm-1": {"zone": "n-a"},
+    f"{VM_PREFIX}vm-1": {
+        "data_centre": "n-a",
+        "caller_address": "10.0.0.1:1",
+        "peer_address": "10.0.0.1:2",
+        "run": 1,
+        "ready": True,
+        "era": 1,
+    },
+    f"{ROSTER_PREFIX}vm-1": {"data_centre": "n-a"},
 }
 
 INVALID_VALUES = st.one_of(
@@ -193,6 +210,40 @@
         assert restarted.process.poll() is None
 
 
+ODD_TEXTS = {
+    "deep lists": "[" * NESTING + "]" * NESTING,
+    "deep objects": '{"x":' * NESTING + "0" + "}" * NESTING,
+    "a long integer": "9" * 5_000,
+    "an integer beyond all floats": "1" + "0" * 400,
+    "an integer of 65 bits": str(2**64),
+    "a negative integer of 65 bits": str(-(2**64)),
+    "a float beyond all floats": "1e999",
+    "the largest float": "1.7976931348623157e308",
+    "an address with a long port": f'"10.0.0.1:{"9" * 5_000}"',
+    "a version with many digits": f'"r{"9" * 5_000}"',
+    "a version of 65 bits": f'"r{2**64}"',
+}
+
+
+@pytest.mark.parametrize("odd", ODD_TEXTS)
+@pytest.mark.parametrize("key", sorted(VALID_DOCUMENTS))
+def test_no_part_of_an_entry_raises_an_error(key, odd):
+    document = VALID_DOCUMENTS[key]
+    for path in document_paths(document):
+        text = json.dumps(replace_part(document, path, "replaced"))
+        value = text.replace('"replaced"', ODD_TEXTS[odd]).encode()
+        facts = Facts(make_upstream_table(), ManualClock())
+        facts.apply_changes([Change(key, value, 1)])
+        for state in facts.fleet.of_service("ledger"):
+            assert 1 <= state.record.slots <= MAX_SLOTS
+            assert state.cold_left() <= MAX_COLD_SECONDS * MILLIS_PER_SECOND
+        for vm in facts.vms_by_id.values():
+            assert abs(vm.run) <= MAX_INT64
+        replica = StoreReplica(facts, ManualClock())
+        replica.apply_snapshot([Entry(key, value, 1)], 1)
+        assert replica.newest_configuration_version <= MAX_INT64
+
+
 def test_an_odd_entry_that_is_written_at_intervals_is_logged_once(monkeypatch):
     events = []
     monkeypatch.setattr(facts_module, "emit", events.append)
--- a/tests/entry/test_peers.py
+++ b/tests/entry/test_peers.py
@@ -8,6 +8,7 @@
 from thrift.TSerialization import serialize
 
 from lagoonlatch.entry import peers
+from lagoonlatch.entry.codec import encode_batch, encode_behind, encode_patch
 from lagoonlatch.entry.generated import ttypes as wire
 from lagoonlatch.entry.outage import OutageDetector
 from lagoonlatch.entry.peers import PeerLink
@@ -153,6 +154,68 @@
     assert "i-1" not in listener.upstream_ids()
 
 
+def strip_era(datagram):
+    """Return a datagram as a VM of a build without eras would send it."""
+    for message in (datagram.tell, datagram.batch, datagram.behind, datagram.patch):
+        for name in ("era", "version", "base_version"):
+            if hasattr(message, name):
+                setattr(message, name, None)
+    return datagram
+
+
+def make_store_datagrams():
+    """Return one datagram of each kind that speaks of the store."""
+    replica = Vm().replica
+    replica.apply_batch(batch(10, 12, removed("i-1", 12)))
+    tell = wire.Tell(
+        vm="vm-1",
+        run=1,
+        leaving=False,
+        revision=99,
+        standing=int(Standing.WATCHES),
+        interval=250,
+        configuration=90,
+        era=0,
+        version=3,
+    )
+    patch = next(encode_patch(replica.versions.patch_from(0)))
+    return {
+        "tell": wire.Datagram(tell=tell),
+        "batch": wire.Datagram(batch=encode_batch(replica.batch_since(10))),
+        "behind": wire.Datagram(behind=encode_behind(Vm().replica)),
+        "patch": wire.Datagram(patch=patch),
+    }
+
+
+@pytest.mark.parametrize("kind", ["tell", "batch", "behind", "patch"])
+def test_datagrams_of_builds_without_eras_are_not_rejected(kind, monkeypatch):
+    events = []
+    monkeypatch.setattr(peers, "emit", events.append)
+    vm = Vm()
+    link = make_link(OneNearNeighbour(), vm.replica)
+    link.handle(encode(strip_era(make_store_datagrams()[kind])), SOURCE)
+    assert not events
+    assert vm.replica.revision == 10
+    assert link._peer_table.standing_by_vm().get("vm-1") is not Standing.WATCHES
+
+
+@pytest.mark.parametrize("kind", ["tell", "batch", "behind", "patch"])
+def test_builds_without_eras_find_all_fields_that_they_use(kind):
+    datagram = strip_era(make_store_datagrams()[kind])
+    message = getattr(datagram, kind)
+    optional = {"era", "version", "base_version", "store_age"}
+    missing = {name for name, value in vars(message).items() if value is None}
+    assert missing <= optional
+
+
+def test_a_vm_of_a_build_without_eras_gets_the_changes_that_it_lacks():
+    vm = Vm()
+    vm.replica.apply_batch(batch(10, 12, removed("i-1", 12)))
+    query = wire.Behind(revision=10, configuration=8)
+    (answer,) = make_link(replica=vm.replica).changes.answer(query)
+    assert (answer.batch.since, answer.batch.until) == (10, 12)
+
+
 def test_leaving_upstream_is_reported_to_vms_of_the_region(monkeypatch):
     link, sent, reports = make_link(OneNearNeighbour()), [], []
     monkeypatch.setattr(link, "_send_bytes", lambda data, _address: sent.append(data))
