--- a/lagoonlatch/entry/sync.py
+++ b/lagoonlatch/entry/sync.py
@@ -215,9 +215,9 @@
                     known_revision=known.revision,
                 )
             )
+            gevent.sleep(MIN_RETRY_DELAY / MILLIS_PER_SECOND)
             if found.era < known.era:
                 # An answer of the store before it was restored.
-                gevent.sleep(MIN_RETRY_DELAY / MILLIS_PER_SECOND)
                 return None
         self._replica.note_latest(Knowledge(era=found.era, revision=found.revision))
         self._needs_snapshot = False
--- a/tests/entry/test_sync.py
+++ b/tests/entry/test_sync.py
@@ -20,6 +20,7 @@
     def __init__(self, entries, revision):
         self.snapshot = Snapshot(tuple(entries), revision)
         self.era = 0
+        self.changes = None
         self.reads = 0
         self.answers = True
         self.interrupts = 0
@@ -39,7 +40,11 @@
         self._end_wait.clear()
         if self.interrupts:
             return Failure(StoreUnavailable("interrupted"))
-        return Success(Changes((), revision))
+        return Success(self.changes or Changes((), revision))
+
+    def restore(self, entries, revision):
+        self.era += 1
+        self.snapshot = Snapshot(tuple(entries), revision, self.era)
 
     def interrupt(self):
         self.interrupts += 1
@@ -113,3 +118,52 @@
     gevent.sleep(0.01)
     watching_vm.pass_time(8_000.0)
     assert watching_vm.store.interrupts == 0
+
+
+def test_history_of_a_restored_store_is_not_applied_to_known_facts(watching_vm):
+    """CONFIG: the revision was given out again, so that the watch gets no 410."""
+    vm, store = watching_vm.vm, watching_vm.store
+    entries = [entry for entry in vm.replica.entries() if entry.key != "servers/i-1"]
+    store.restore(entries, 15)
+    store.changes = Changes((removed("i-9", 15),), 15, store.era)
+    store._end_wait.set()
+    gevent.sleep(0.02)
+    assert store.reads == 2
+    assert vm.replica.knowledge.position == (1, 15)
+
+
+def test_a_watch_that_hangs_since_before_a_restore_is_interrupted(watching_vm):
+    """A renewal has stated the new era; the watch still waits."""
+    store = watching_vm.store
+    store.restore(watching_vm.vm.replica.entries(), 5)
+    watching_vm.pass_time(MAX_WATCH_LAG + 250.0)
+    gevent.sleep(0.02)
+    assert store.interrupts == 1
+    assert watching_vm.vm.replica.knowledge.position == (1, 5)
+
+
+def test_a_vm_that_listens_reads_the_restored_store_if_no_vm_sends_it(watching_vm):
+    store = watching_vm.store
+    watching_vm.sync._should_watch = lambda: False
+    store._end_wait.set()
+    gevent.sleep(0.02)
+    assert watching_vm.sync.standing is Standing.LISTENS
+    store.restore(watching_vm.vm.replica.entries(), 5)
+    watching_vm.pass_time(MAX_WATCH_LAG + 250.0)
+    gevent.sleep(0.02)
+    assert watching_vm.vm.replica.knowledge.position == (1, 5)
+
+
+def test_a_snapshot_of_an_earlier_era_is_read_again(watching_vm):
+    vm, store = watching_vm.vm, watching_vm.store
+    vm.replica.apply_snapshot(vm.replica.entries(), 4, 1)
+    store.restore(vm.replica.entries(), 4)
+    late, store.snapshot = store.snapshot, Snapshot((), 90, 0)
+    watching_vm.sync._needs_snapshot = True
+    store._end_wait.set()
+    gevent.sleep(0.05)
+    store.snapshot = late
+    gevent.sleep(0.4)
+    assert vm.replica.knowledge.position == (1, 4)
+    assert vm.upstream_ids() == {"i-1"}
+    assert watching_vm.sync.standing is Standing.WATCHES
