--- a/lagoonlatch/entry/facts.py
+++ b/lagoonlatch/entry/facts.py
@@ -188,22 +188,15 @@
             if key not in present and not is_held:
                 self._settle(key)
                 self._remove_entry(key, is_removal=True)
-        configurations = []
-        for entry in entries:
-            if entry.key == CONFIGURATION_KEY and not self._has_snapshot:
-                configurations.append(entry)
-            else:
-                self._apply_new_entry(entry)
-        for entry in configurations:
-            if any(
-                vm.era is not None and vm.era < era for vm in self.vms_by_id.values()
-            ):
-                # VMs have not registered since the restore: the configuration may be
-                # older than the one that they have in force.
+        for entry in sorted(entries, key=lambda entry: entry.key == CONFIGURATION_KEY):
+            is_configuration = entry.key == CONFIGURATION_KEY
+            if is_configuration and not self._has_snapshot and self._has_vm_before(era):
+                # The configuration may be older than the one that VMs have in force
+                # which have not registered since the restore.
                 until = self._clock.now() + UNCERTAIN_CONFIGURATION_TIME
                 self._unsettled_by_key[entry.key] = _Unsettled(entry, until)
             else:
-                self._apply_entry(entry)
+                self._apply_new_entry(entry)
         if not self._has_snapshot:
             self._has_snapshot = True
             emit(FactsRead(upstreams=len(self.fleet.ids()), vms=len(self.vms_by_id)))
@@ -263,7 +256,7 @@
                 self._apply_entry(entry)
         if due:
             self._notify_listeners()
-        if self._is_settling and not self._unsettled_by_key:
+        if self._is_settling and not (self._unsettled_by_key or self._held_ids):
             self._is_settling = False
             emit(RestoreSettled())
 
@@ -312,6 +305,11 @@
             for upstream_id in held:
                 self._drop_upstream(upstream_id)
 
+    def _has_vm_before(self, era: int) -> bool:
+        """Return whether a VM's entry was written in an earlier era."""
+        vms = self.vms_by_id.values()
+        return any(vm.era is not None and vm.era < era for vm in vms)
+
     def _apply_new_entry(self, entry: Entry) -> None:
         """Apply an entry that the store has written in its present era."""
         held = self._unsettled_by_key.get(entry.key)
