Spread the registrations of VMs that lose their leases at once

They now wait up to 1 s, and pauses between retries differ. Holding of VMs' entries (5 s) covers the delay.

--- a/lagoonlatch/entry/registration.py
+++ b/lagoonlatch/entry/registration.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -31,7 +32,11 @@
 """Interval of renewals. A renewal and some retries may fail before the lease ends."""
 
 RETRY_INTERVAL: Millis = 500.0
-"""Pause before a failed call is retried."""
+"""Average pause before a failed call is retried."""
+
+MAX_REGISTRATION_DELAY: Millis = 1_000.0
+"""Longest pause before a VM whose lease has ended registers again. All VMs may notice
+that at the same time, when the store answers again after an outage or a restore."""
 
 MAX_MISSED_RENEWALS = 2
 """Number of renewals after which an entry that the store doesn't show is written again.
@@ -42,8 +47,7 @@
     """Keep the entry of this VM alive under a lease, and its id in the roster.
 
     A restored store may lack the entry, and give the id of the lease to another VM.
-    Each VM notices the new era at its next renewal, so that VMs write their entries
-    again at different times.
+    Each VM notices the new era at its next renewal, and writes its entry again.
 
     Parameters
     ----------
@@ -121,15 +125,15 @@
         if isinstance(renewed.failure(), StoreLeaseEnded):
             self._outage_detector.note_success()
             self._lease = None
-            return 0.0
+            return random.uniform(0.0, MAX_REGISTRATION_DELAY)
         self._outage_detector.note_failure(sent)
-        return RETRY_INTERVAL
+        return _retry_delay()
 
     def _register(self) -> Millis:
         granted = self._store.grant_lease(LEASE_DURATION)
         if isinstance(granted, Failure):
             self._log_failure("grant", granted)
-            return RETRY_INTERVAL
+            return _retry_delay()
         if self._is_deregistered:
             return 0.0
         lease = granted.unwrap()
@@ -142,7 +146,7 @@
         )
         if isinstance(written, Failure):
             self._log_failure("register", written)
-            return RETRY_INTERVAL
+            return _retry_delay()
         self._lease, self._revision = lease, written.unwrap()
         self._missed_renewals = 0
         return RENEW_INTERVAL
@@ -150,3 +154,7 @@
     def _log_failure(self, step: str, result: Result[object, StoreError]) -> None:
         if isinstance(result, Failure):
             emit(RegistrationFailed(step=step, why=str(result.failure())))
+
+
+def _retry_delay() -> Millis:
+    return RETRY_INTERVAL * random.uniform(0.5, 1.5)
