Ask no other VM for a configuration that can't be read, and correct wrong eras

- The version of the store's configuration counted as known before the configuration was read, so that an unreadable one would have been asked of other VMs every 0.15 s.
A configuration is now asked for only if another VM has named its version, or if the store's may be older than that of others.
- A VM that leaves between a restore and its new registration removes its entry of the copy.

Found by reading the change. Tests: test_an_unreadable_configuration_is_not_ asked_of_other_vms, test_a_snapshot_corrects_a_wrong_era_of_an_earlier_refusal, test_a_vm_that_leaves_before_it_registers_again_removes_its_entry.

--- a/lagoonlatch/entry/facts.py
+++ b/lagoonlatch/entry/facts.py
@@ -133,6 +133,11 @@
         self._is_settling = False
         self._removed_by_key: dict[str, tuple[Entry, Millis]] = {}
 
+    @property
+    def is_configuration_uncertain(self) -> bool:
+        """Whether no configuration is in force because the store's may be old."""
+        return self.rules is None and CONFIGURATION_KEY in self._unsettled_by_key
+
     def add_rules_listener(self, listener: Callable[[TrafficRules], None]) -> None:
         """Call `listener` with each new configuration."""
         self._rules_listeners.append(listener)
--- a/lagoonlatch/entry/registration.py
+++ b/lagoonlatch/entry/registration.py
@@ -84,7 +84,7 @@
         The lease isn't ended: after a restore, another VM may have one of its id.
         """
         self._is_deregistered = True
-        if self._lease is None:
+        if not self._revision:
             return
         key = f"{VM_PREFIX}{self._record.id}"
         removed = self._store.delete_if(key, self._revision)
--- a/lagoonlatch/entry/replica.py
+++ b/lagoonlatch/entry/replica.py
@@ -18,7 +18,7 @@
 from lagoonlatch.entry.journal import emit
 from lagoonlatch.entry.versions import Patch, VersionHistory
 from lagoonlatch.platform.kv import Change
-from lagoonlatch.platform.operator_keys import CONFIGURATION_KEY, decode_version
+from lagoonlatch.platform.operator_keys import CONFIGURATION_KEY
 from lagoonlatch.platform.store import Entry
 from lagoonlatch.steering.knowledge import Knowledge
 
@@ -122,8 +122,11 @@
 
     @property
     def lacks_configuration(self) -> bool:
-        """Whether a later configuration than the one in force is known to exist."""
-        return self._known_version > self.configuration_version
+        """Whether a later configuration than the one in force exists or may exist."""
+        return (
+            self._known_version > self.configuration_version
+            or self._facts.is_configuration_uncertain
+        )
 
     def note_latest(self, knowledge: Knowledge) -> None:
         """Mark the facts as current if this VM lacks nothing of `knowledge`.
@@ -189,11 +192,6 @@
             self._facts.apply_snapshot(entries, era)
         if era > self.era:
             self._early_batches.clear()
-        for entry in entries:
-            if entry.key == CONFIGURATION_KEY:
-                self._known_version = max(
-                    self._known_version, decode_version(entry.value).value_or(0)
-                )
         self._note_configuration_in_force()
         self.era, self.revision = era, revision
         self._batches.clear()
--- a/lagoonlatch/platform/kv.py
+++ b/lagoonlatch/platform/kv.py
@@ -172,7 +172,7 @@
     Attributes
     ----------
     latest : int
-        The highest era so far; 0 if the store states none.
+        The highest era since the last snapshot; 0 if the store states none.
     """
 
     def __init__(self, report_odd: Callable[[str], None]) -> None:
@@ -264,7 +264,7 @@
 
     @property
     def era(self) -> int:
-        """The highest era that the store has stated in any answer, 0 if none."""
+        """The highest era in any answer since the last snapshot, 0 if none."""
         return self._eras.latest
 
     def read_prefix(self, prefix: str) -> Result[Snapshot, StoreError]:
@@ -289,6 +289,8 @@
             revision = revision or found.store_revision
             entries.extend(Entry(i.key, i.value, i.rev) for i in found.items)
             if not found.has_more or not found.items:
+                # A higher era in an earlier refusal was not the store's own.
+                self._eras.latest = era
                 return Success(Snapshot(tuple(entries), revision, era))
             after = found.items[-1].key
 
--- a/lagoonlatch/platform/operator_keys.py
+++ b/lagoonlatch/platform/operator_keys.py
@@ -78,11 +78,8 @@
     spec: Any
 
 
-class _Versioned(msgspec.Struct):
+class _Document(msgspec.Struct):
     version: str
-
-
-class _Document(_Versioned):
     resources: list[_Resource]
 
 
@@ -109,14 +106,6 @@
         return Failure(str(error))
 
 
-def decode_version(value: bytes) -> Result[int, str]:
-    """Decode only the version of a configuration."""
-    try:
-        return Success(_to_version(msgspec.json.decode(value, type=_Versioned).version))
-    except CONVERSION_ERRORS as error:
-        return Failure(str(error))
-
-
 def evacuated_data_centre(key: str) -> str | None:
     """Return the data centre that `key` asks to empty; None for other keys."""
     if not key.startswith(EVACUATION_PREFIX):
--- a/tests/entry/test_malformed_entries.py
+++ b/tests/entry/test_malformed_entries.py
@@ -244,6 +244,18 @@
         assert replica.newest_configuration_version <= MAX_INT64
 
 
+def test_an_unreadable_configuration_is_not_asked_of_other_vms():
+    facts = Facts(make_upstream_table(), ManualClock())
+    replica = StoreReplica(facts, ManualClock())
+    valid = Entry("op/config", json.dumps(CONFIGURATION).encode(), 1)
+    replica.apply_snapshot([valid], 1)
+    odd = json.dumps(CONFIGURATION | {"version": "r8", "resources": 3}).encode()
+    replica.apply_snapshot([Entry("op/config", odd, 2)], 2)
+    assert not replica.lacks_configuration
+    assert replica.configuration_version == 7
+    assert replica.versions.patch_from(0).version == 7
+
+
 def test_an_odd_entry_that_is_written_at_intervals_is_logged_once(monkeypatch):
     events = []
     monkeypatch.setattr(facts_module, "emit", events.append)
--- a/tests/entry/test_registration.py
+++ b/tests/entry/test_registration.py
@@ -110,6 +110,17 @@
     assert platform.registered() == {}
 
 
+def test_a_vm_that_leaves_before_it_registers_again_removes_its_entry(platform):
+    registration = platform.registration()
+    registration._step()
+    stored = platform.standin.take_copy()
+    platform.standin.restore(stored)
+    registration._step()
+    assert registration._lease is None
+    registration.deregister()
+    assert platform.registered() == {}
+
+
 def test_a_vm_does_not_remove_the_entry_of_a_later_process(platform):
     registration = platform.registration()
     registration._step()
--- a/tests/platform/test_kv.py
+++ b/tests/platform/test_kv.py
@@ -222,6 +222,14 @@
     assert store.era == 7
 
 
+def test_a_snapshot_corrects_a_wrong_era_of_an_earlier_refusal(standin, store):
+    standin.era, standin.refuse_with = 900, 503
+    store.read_prefix("")
+    standin.era, standin.refuse_with = 1, None
+    assert store.read_prefix("").unwrap().era == 1
+    assert store.era == 1
+
+
 def test_a_store_without_eras_has_the_first(standin, store, monkeypatch):
     monkeypatch.setattr(kv_store, "ERA_FIELD", "Another-Field")
     assert store.read_prefix("").unwrap().era == 0
