Give stand-ins of upstreams ports that no outgoing connection gets

The addresses are now taken from a block below that range which no other process on the machine hands out, as for entry VMs (PortBlock). Nothing of the check has changed.

--- a/tests/upstreams/processes.py
+++ b/tests/upstreams/processes.py
@@ -1,5 +1,4 @@
 import json
-import socket
 import subprocess
 import sys
 import time
@@ -11,6 +10,7 @@
 from lagoonlatch.clock import Clock, HybridClock, Stamp
 from lagoonlatch.config.model import Service, Upstream
 from lagoonlatch.events import EventLog
+from lagoonlatch.standins.entry_fleet import PortBlock
 from lagoonlatch.upstreams import (
     InstanceKey,
     OwnerSettings,
@@ -67,10 +67,15 @@
         self.process.wait()
 
 
+_PORT_BLOCKS = [PortBlock()]
+
+
 def free_address():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Return an address with a port that no outgoing connection gets."""
+    if not (ports := _PORT_BLOCKS[-1].take(1)):
+        _PORT_BLOCKS.append(PortBlock())
+        ports = _PORT_BLOCKS[-1].take(1)
+    return f"127.0.0.1:{ports[0]}"
 
 
 def make_service(instances, slots=3, connections=390):
