--- a/tests/entry/test_restored_store.py
+++ b/tests/entry/test_restored_store.py
@@ -77,7 +77,11 @@
             assert not is_used_by(vm, "new")
 
 
-def test_vm_that_starts_after_a_restore_does_not_use_the_older_configuration(fleet):
+@pytest.mark.parametrize("seconds_after", [0.0, 6.5])
+def test_vm_that_starts_after_a_restore_does_not_use_the_older_configuration(
+    fleet, seconds_after
+):
+    """CONFIG: in the second case all VMs have registered again before it starts."""
     fleet.configure(keys=("old",))
     for vm in fleet.vms_by_id.values():
         assert eventually(lambda vm=vm: authorized(vm, "old"))
@@ -88,6 +92,7 @@
     fleet.signal("vm-1", signal.SIGKILL)
     fleet.vms_by_id["vm-1"].process.wait()
     fleet.store.restore(stored)
+    gevent.sleep(seconds_after)
     started = fleet.start_vm("vm-1", "n-b", first=False)
     statuses = set()
     with gevent.Timeout(8.0, False):
