Compare the store's configuration with what VMs state when a VM starts

Callers got 401 for a valid key, or were served by the older configuration of a restored store, from a VM that started after all others had registered again and before the operator had written the configuration again.

Cause: that the store's configuration may be old was concluded from entries of VMs of an earlier era only. These are written again or end within 5 s.

VMs state in their entries the version of the configuration in force. A VM that starts waits while an entry states a later version than the store's or is of an earlier era, 5 s at most, and asks the others. It no longer waits the whole time if all have registered again and none states a later one, and it waits also if it has started between two restores. Nothing changes without a restore: entries then state no later version than the store has.

--- a/lagoonlatch/entry/events.py
+++ b/lagoonlatch/entry/events.py
@@ -113,6 +113,17 @@
     organisations: int
 
 
+@log_event()
+class ConfigurationUncertain(LogEvent):
+    """The store's configuration is not used yet, since VMs may have a later one.
+
+    `latest` is the latest version that a VM's entry states, 0 if none does.
+    """
+
+    version: int
+    latest: int
+
+
 @log_event(logging.WARNING)
 class ConfigurationUnreadable(LogEvent):
     """A configuration in the store could not be read; the old one stays in force."""
--- a/lagoonlatch/entry/facts.py
+++ b/lagoonlatch/entry/facts.py
@@ -10,6 +10,7 @@
 from lagoonlatch.clock import Clock, Millis
 from lagoonlatch.entry.events import (
     ConfigurationInForce,
+    ConfigurationUncertain,
     ConfigurationUnreadable,
     EntryFailed,
     EvacuationsChanged,
@@ -55,9 +56,9 @@
 The store removes the entries of upstreams that have left after three of their
 heartbeats."""
 
-UNCERTAIN_CONFIGURATION_TIME: Millis = 2_000.0
-"""How long a VM that starts soon after a restore waits for other VMs to send a later
-configuration than that of the store."""
+UNCERTAIN_CONFIGURATION_TIME: Millis = 5_000.0
+"""Longest time for which a VM that starts waits for a later configuration than that of
+the store, while other VMs may have one. Entries of VMs that have died end within it."""
 
 REMOVED_ENTRY_LIFETIME: Millis = 60_000.0
 """How long removed entries are remembered, since a copy of the store may contain them;
@@ -78,10 +79,13 @@
         None if the store lacks the key.
     until : Millis
         When the store's content comes into force.
+    version : int
+        Of a configuration, its version; 0 if it can't be read.
     """
 
     entry: Entry | None
     until: Millis
+    version: int = 0
 
 
 class Facts:
@@ -122,6 +126,7 @@
         self._vm_listeners: list[Callable[[], None]] = []
         self._vms_have_changed = False
         self._upstream_gone_listeners: list[Callable[[str], None]] = []
+        self._era = 0
         self._has_snapshot = False
         self._roster_has_changed = False
         self._entry_by_key: dict[str, Entry] = {}
@@ -136,7 +141,7 @@
     @property
     def is_configuration_uncertain(self) -> bool:
         """Whether no configuration is in force because the store's may be old."""
-        return self.rules is None and CONFIGURATION_KEY in self._unsettled_by_key
+        return self._is_uncertain(CONFIGURATION_KEY)
 
     def add_rules_listener(self, listener: Callable[[TrafficRules], None]) -> None:
         """Call `listener` with each new configuration."""
@@ -186,6 +191,7 @@
 
     def apply_snapshot(self, entries: Sequence[Entry], era: int = 0) -> None:
         """Replace all facts by `entries` of the store in its era `era`."""
+        self._era = era
         present = {entry.key for entry in entries}
         held = self._unsettled_by_key
         for key in dict.fromkeys([*self._entry_by_key, *held]):
@@ -193,22 +199,17 @@
             if key not in present and not is_held:
                 self._settle(key)
                 self._remove_entry(key, is_removal=True)
-        for entry in sorted(entries, key=lambda entry: entry.key == CONFIGURATION_KEY):
-            is_configuration = entry.key == CONFIGURATION_KEY
-            if is_configuration and not self._has_snapshot and self._has_vm_before(era):
-                # The configuration may be older than the one that VMs have in force
-                # which have not registered since the restore.
-                until = self._clock.now() + UNCERTAIN_CONFIGURATION_TIME
-                self._unsettled_by_key[entry.key] = _Unsettled(entry, until)
-            else:
+        for entry in _with_configuration_last(entries):
+            if not self._hold_uncertain_configuration(entry):
                 self._apply_new_entry(entry)
         if not self._has_snapshot:
             self._has_snapshot = True
             emit(FactsRead(upstreams=len(self.fleet.ids()), vms=len(self.vms_by_id)))
         self._notify_listeners()
 
-    def apply_restored_snapshot(self, entries: Sequence[Entry]) -> None:
+    def apply_restored_snapshot(self, entries: Sequence[Entry], era: int) -> None:
         """Apply the entries of a store that was restored since the known facts."""
+        self._era = era
         now = self._clock.now()
         self._unsettled_by_key.clear()
         self._is_settling = True
@@ -226,7 +227,9 @@
             else:
                 until = now + MISSING_ENTRY_HOLD_TIME
                 self._unsettled_by_key[key] = _Unsettled(None, until)
-        for entry in entries:
+        for entry in _with_configuration_last(entries):
+            if self._hold_uncertain_configuration(entry):
+                continue
             known = self._entry_by_key.get(entry.key)
             if known is not None and known.value == entry.value:
                 self._entry_by_key[entry.key] = entry
@@ -252,7 +255,12 @@
     def settle_restored_entries(self) -> None:
         """Let the content of the restored store come into force where it is due."""
         now = self._clock.now()
-        due = [key for key, held in self._unsettled_by_key.items() if held.until <= now]
+        due = [
+            key
+            for key, held in self._unsettled_by_key.items()
+            if held.until <= now
+            or (self._is_uncertain(key) and not self._is_later_possible(held.version))
+        ]
         for key in due:
             entry = self._settle(key)
             if entry is None:
@@ -310,10 +318,35 @@
             for upstream_id in held:
                 self._drop_upstream(upstream_id)
 
-    def _has_vm_before(self, era: int) -> bool:
-        """Return whether a VM's entry was written in an earlier era."""
-        vms = self.vms_by_id.values()
-        return any(vm.era is not None and vm.era < era for vm in vms)
+    def _hold_uncertain_configuration(self, entry: Entry) -> bool:
+        """Hold the first known configuration if VMs may have a later one in force.
+
+        Returns False if `entry` isn't held.
+        """
+        if entry.key != CONFIGURATION_KEY or entry.key in self._entry_by_key:
+            return False
+        if entry.key in self._unsettled_by_key or self.rules is not None:
+            return False
+        version = decode_configuration(entry.value).map(lambda r: r.version).value_or(0)
+        if not self._is_later_possible(version):
+            return False
+        until = self._clock.now() + UNCERTAIN_CONFIGURATION_TIME
+        self._unsettled_by_key[entry.key] = _Unsettled(entry, until, version)
+        emit(ConfigurationUncertain(version=version, latest=self._latest_version()))
+        return True
+
+    def _is_later_possible(self, version: int) -> bool:
+        """Return whether a VM may have a later configuration in force.
+
+        VMs state its version in their entries, which they write again after a restore.
+        """
+        return self._latest_version() > version or any(
+            vm.era is not None and vm.era < self._era for vm in self.vms_by_id.values()
+        )
+
+    def _latest_version(self) -> int:
+        versions = (vm.configuration_version for vm in self.vms_by_id.values())
+        return max(versions, default=0)
 
     def _apply_new_entry(self, entry: Entry) -> None:
         """Apply an entry that the store has written in its present era."""
@@ -322,6 +355,10 @@
             self._settle(entry.key)
             self._apply_entry(entry)
 
+    def _is_uncertain(self, key: str) -> bool:
+        is_held = key == CONFIGURATION_KEY and key in self._unsettled_by_key
+        return is_held and self.rules is None
+
     def _settle(self, key: str) -> Entry | None:
         """Hold a key no longer; return what the restored store holds for it."""
         held = self._unsettled_by_key.pop(key, None)
@@ -527,6 +564,11 @@
             emit(event)
 
 
+def _with_configuration_last(entries: Iterable[Entry]) -> list[Entry]:
+    """Return the entries in an order in which the VMs come before the configuration."""
+    return sorted(entries, key=lambda entry: entry.key == CONFIGURATION_KEY)
+
+
 def _order_of(entry: Entry) -> tuple[float, int] | None:
     """Return the order of what an upstream or a VM has written; None if unknown."""
     if entry.key.startswith(UPSTREAM_PREFIX):
--- a/lagoonlatch/entry/process.py
+++ b/lagoonlatch/entry/process.py
@@ -208,7 +208,12 @@
             delay_first_read=settings.is_first_start,
         )
         self._registration = Registration(
-            self._store, self._own_record, self._is_listed, outage_detector, clock
+            self._store,
+            self._own_record,
+            self._is_listed,
+            self._configuration_version,
+            outage_detector,
+            clock,
         )
         self._cold_start_limiter = ColdStartLimiter(
             settings.vm, lambda: self._facts.vms_by_id, clock
--- a/lagoonlatch/entry/registration.py
+++ b/lagoonlatch/entry/registration.py
@@ -53,6 +53,9 @@
     ----------
     is_listed : callable
         Returns whether the store contains the entry, as far as this VM knows.
+    configuration_version : callable
+        Returns the version of the configuration in force; 0 before the first. The entry
+        states it, so that VMs that start later notice if a restored store lacks it.
     """
 
     def __init__(
@@ -60,6 +63,7 @@
         store: KeyValueStore,
         record: VmRecord,
         is_listed: Callable[[], bool],
+        configuration_version: Callable[[], int],
         outage_detector: OutageDetector,
         clock: Clock,
     ) -> None:
@@ -67,6 +71,7 @@
         self._outage_detector = outage_detector
         self._record = record
         self._is_listed = is_listed
+        self._configuration_version = configuration_version
         self._clock = clock
         self._lease: Lease | None = None
         self._revision = 0
@@ -137,7 +142,11 @@
         if self._is_deregistered:
             return 0.0
         lease = granted.unwrap()
-        record = replace(self._record, era=lease.era)
+        record = replace(
+            self._record,
+            era=lease.era,
+            configuration_version=self._configuration_version(),
+        )
         written = self._store.put_all(
             [
                 Write(f"{ROSTER_PREFIX}{record.id}", encode_roster(record.data_centre)),
--- a/lagoonlatch/entry/replica.py
+++ b/lagoonlatch/entry/replica.py
@@ -187,7 +187,7 @@
                     revision=revision,
                 )
             )
-            self._facts.apply_restored_snapshot(entries)
+            self._facts.apply_restored_snapshot(entries, era)
         else:
             self._facts.apply_snapshot(entries, era)
         if era > self.era:
--- a/lagoonlatch/platform/registrations.py
+++ b/lagoonlatch/platform/registrations.py
@@ -43,6 +43,7 @@
     run: _Int64
     ready: bool
     era: _Int64 | None = None
+    version: _Int64 = 0
 
 
 class _Place(msgspec.Struct):
@@ -94,6 +95,7 @@
             run=record.run,
             ready=record.is_ready,
             era=record.era,
+            version=record.configuration_version,
         )
     )
 
@@ -115,5 +117,6 @@
             run=wire.run,
             is_ready=wire.ready,
             era=wire.era,
+            configuration_version=wire.version,
         )
     )
--- a/lagoonlatch/steering/model.py
+++ b/lagoonlatch/steering/model.py
@@ -222,6 +222,9 @@
         Whether it is ready to accept requests of callers.
     era : int or None
         Era of the store in which the entry was written; None if it isn't stated.
+    configuration_version : int
+        Version of the configuration in force when the entry was written; 0 if there was
+        none or it isn't stated.
     """
 
     id: str
@@ -231,6 +234,7 @@
     run: int
     is_ready: bool
     era: int | None = None
+    configuration_version: int = 0
 
     @property
     def order(self) -> tuple[float, int]:
--- a/tests/entry/test_registration.py
+++ b/tests/entry/test_registration.py
@@ -25,6 +25,7 @@
         self.standin = KvStoreStandin()
         self.server = self.standin.serve()
         self.listed = True
+        self.version = 0
 
     def store(self):
         return KeyValueStore.from_address(f"127.0.0.1:{self.server.server_port}")
@@ -35,6 +36,7 @@
             store or self.store(),
             make_vm(name, "n-a"),
             lambda: self.listed,
+            lambda: self.version,
             OutageDetector(lambda: None, clock),
             clock,
         )
@@ -70,6 +72,19 @@
     assert platform.registered() == {"vm-0": 2}
 
 
+def test_an_entry_states_the_configuration_in_force_when_it_is_written(platform):
+    """CONFIG: VMs that start after a restore compare it with that of the store."""
+    registration = platform.registration()
+    registration._step()
+    stored = platform.standin.take_copy()
+    platform.version = 9
+    platform.standin.restore(stored)
+    registration._step()
+    registration._step()
+    entry = platform.standin._items_by_key[KEY].value
+    assert decode_vm(KEY, entry).unwrap().configuration_version == 9
+
+
 def test_a_lease_that_another_vm_has_by_now_is_neither_renewed_nor_ended(platform):
     """The id of the lease is given out again, so that its renewal succeeds."""
     stored = platform.standin.take_copy()
--- a/tests/entry/test_restore.py
+++ b/tests/entry/test_restore.py
@@ -31,7 +31,7 @@
 ERA = 1
 
 
-def vm_entry(name, revision, run=1, era=ERA):
+def vm_entry(name, revision, run=1, era=ERA, configuration_version=0):
     record = VmRecord(
         id=name,
         data_centre="n-a",
@@ -40,6 +40,7 @@
         run=run,
         is_ready=True,
         era=era,
+        configuration_version=configuration_version,
     )
     return Entry(f"{VM_PREFIX}{name}", encode_vm(record), revision)
 
@@ -59,6 +60,15 @@
             [Entry("op/config", config(9), 40), *entries], 50, ERA
         )
 
+    @classmethod
+    def starting(cls):
+        """Return a VM that has not read the store yet."""
+        vm = cls.__new__(cls)
+        vm.clock = ManualClock()
+        vm.facts = Facts(make_upstream_table(vm.clock), vm.clock)
+        vm.replica = StoreReplica(vm.facts, vm.clock)
+        return vm
+
     def change(self, key, value, revision, era=ERA):
         change = Change(key, value, revision)
         assert self.replica.apply_batch(
@@ -266,10 +276,7 @@
 
 def test_a_vm_that_starts_after_a_restore_waits_for_a_later_configuration():
     """CONFIG: its first snapshot is a copy, and other VMs know a later version."""
-    vm = Vm.__new__(Vm)
-    vm.clock = ManualClock()
-    vm.facts = Facts(make_upstream_table(vm.clock), vm.clock)
-    vm.replica = StoreReplica(vm.facts, vm.clock)
+    vm = Vm.starting()
     vm.restore(vm_entry("vm-1", 20))
     assert vm.facts.rules is None
     assert vm.replica.lacks_configuration
@@ -281,15 +288,75 @@
 
 
 def test_a_vm_that_starts_after_a_restore_and_is_alone_uses_the_store():
-    vm = Vm.__new__(Vm)
-    vm.clock = ManualClock()
-    vm.facts = Facts(make_upstream_table(vm.clock), vm.clock)
-    vm.replica = StoreReplica(vm.facts, vm.clock)
+    vm = Vm.starting()
     vm.restore(vm_entry("vm-1", 20))
     vm.pass_time(UNCERTAIN_CONFIGURATION_TIME + 1.0)
     assert vm.facts.rules.version == 4
 
 
+def test_a_vm_that_starts_after_all_have_registered_again_waits_as_well():
+    """CONFIG: no entry of an earlier era is left, but one states a later version."""
+    vm = Vm.starting()
+    vm.restore(
+        vm_entry("vm-1", 44, era=ERA + 1, configuration_version=9),
+        vm_entry("vm-2", 45, era=ERA + 1),
+    )
+    vm.pass_time(UNCERTAIN_CONFIGURATION_TIME - 1.0)
+    assert vm.facts.rules is None
+    assert vm.replica.lacks_configuration
+    assert vm.replica.apply_patch(Vm().replica.versions.patch_from(0))
+    assert vm.facts.rules.version == 9
+    vm.pass_time(2.0)
+    assert vm.facts.rules.version == 9
+
+
+def test_a_vm_waits_for_no_later_configuration_once_all_have_registered_again():
+    vm = Vm.starting()
+    vm.restore(vm_entry("vm-1", 20), vm_entry("vm-2", 21))
+    value = vm_entry("vm-1", 46, era=ERA + 1, configuration_version=4).value
+    vm.change(f"{VM_PREFIX}vm-1", value, 46, ERA + 1)
+    vm.pass_time(1.0)
+    assert vm.facts.rules is None
+    vm.change(f"{VM_PREFIX}vm-2", None, 47, ERA + 1)
+    vm.pass_time(1.0)
+    assert vm.facts.rules.version == 4
+
+
+def test_a_vm_that_starts_between_two_restores_waits_for_a_later_configuration():
+    vm = Vm.starting()
+    vm.restore(vm_entry("vm-1", 20))
+    vm.restore(vm_entry("vm-1", 20), revision=22, era=ERA + 2, version=2)
+    vm.pass_time(1.0)
+    assert vm.facts.rules is None
+    assert vm.replica.lacks_configuration
+
+
+def test_a_configuration_that_is_written_while_a_vm_waits_is_in_force_at_once():
+    vm = Vm.starting()
+    vm.restore(vm_entry("vm-1", 44, era=ERA + 1, configuration_version=9))
+    vm.change("op/config", config(10), 46, ERA + 1)
+    assert vm.facts.rules.version == 10
+
+
+def test_a_version_that_no_vm_has_delays_a_start_by_a_limited_time():
+    """An odd entry of another writer must not keep VMs from starting."""
+    vm = Vm.starting()
+    vm.restore(vm_entry("odd", 44, era=ERA + 1, configuration_version=2**62))
+    assert vm.facts.rules is None
+    vm.pass_time(UNCERTAIN_CONFIGURATION_TIME)
+    assert vm.facts.rules.version == 4
+
+
+def test_a_start_without_a_restore_does_not_wait():
+    vm = Vm.starting()
+    vm.restore(
+        vm_entry("vm-1", 20, configuration_version=3),
+        vm_entry("vm-2", 21, configuration_version=4),
+        era=ERA,
+    )
+    assert vm.facts.rules.version == 4
+
+
 def test_a_restore_is_logged_when_it_is_noticed_and_when_it_is_settled(monkeypatch):
     events = []
     monkeypatch.setattr(facts_module, "emit", events.append)
