Let the soak play a VM that can't reach the store while it is restored

Cause: with four VMs one listens, and it watches the store itself while the three others are refused. The logs show standing_changed to watches and store_restored told by the store on that VM.

The check is the same; the play now has a VM that can't reach the store from start to end. The program itself must pass with such a VM as well, which is new.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -44,6 +44,7 @@
     instances: int = 6,
     planted: str = "",
     kinds: tuple[str, ...] = (),
+    without_store: tuple[str, ...] = (),
 ) -> Verdict:
     """Play the run that `seed` names.
 
@@ -53,11 +54,15 @@
         Name of a known fault of the program that is put into it; see `planted`.
     kinds : tuple of str
         Kinds of faults to choose from; empty for all.
+    without_store : tuple of str
+        VMs that can't reach the store in the whole run. Others tell them of changes.
     """
     rng = random.Random(seed)
     names = sorted(kinds or KINDS_BY_NAME)
     played: list[str] = []
     with World(vms, instances, planted) as world:
+        for vm in without_store:
+            world.cut_from_store(vm)
         end = now() + duration
         callers = [
             gevent.spawn(
@@ -77,7 +82,7 @@
         problems = [
             *find_problems(world),
             *_unserved(world),
-            *_unregistered(world),
+            *_unregistered(world, set(world.vms_by_id) - set(without_store)),
             *_behind(world),
         ]
         asked = world.history.asked
@@ -103,12 +108,12 @@
     return played
 
 
-def _unregistered(world: World) -> list[str]:
-    """Return the VMs whose entries the store lacks after all faults have ended."""
+def _unregistered(world: World, vms: set[str]) -> list[str]:
+    """Return which of `vms` have no entry after all faults have ended."""
     keys = world.store.keys()
     return [
         f"{vm} has no entry in the store after the last fault"
-        for vm in world.vms_by_id
+        for vm in sorted(vms)
         if f"{VM_PREFIX}{vm}" not in keys
     ]
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -48,12 +48,21 @@
 
 @pytest.mark.parametrize("planted", RESTORE_PLANTS)
 def test_a_vm_that_does_not_follow_a_restored_store_is_found(planted):
-    verdict = play(2, 10_000.0, planted=planted, kinds=RESTORE_KINDS)
+    """A VM without the store can't follow it by a watch of its own."""
+    verdict = play(
+        2, 10_000.0, planted=planted, kinds=RESTORE_KINDS, without_store=("vm-3",)
+    )
     assert verdict.problems
 
 
-def test_a_restored_store_is_followed():
-    verdict = play(2, 10_000.0, kinds=(*RESTORE_KINDS, "store_cut", "evacuation"))
+@pytest.mark.parametrize("without_store", [(), ("vm-3",)])
+def test_a_restored_store_is_followed(without_store):
+    verdict = play(
+        2,
+        10_000.0,
+        kinds=(*RESTORE_KINDS, "store_cut", "evacuation"),
+        without_store=without_store,
+    )
     assert not verdict.problems
 
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -15,7 +15,7 @@
 from lagoonlatch.clock import MILLIS_PER_SECOND, Millis
 from lagoonlatch.platform.registrations import UPSTREAM_PREFIX
 from lagoonlatch.standins.entry_fleet import HOST, EntryFleet
-from lagoonlatch.standins.faults import FaultProxy, Forward
+from lagoonlatch.standins.faults import ANY_GROUP, Fault, FaultProxy, Forward, Rule
 from lagoonlatch.standins.instance import InstanceStandin
 
 DEADLINE: Millis = 2_500.0
@@ -154,6 +154,12 @@
         """Return the proxy's address of the store for one VM."""
         return self._forward(f"store-{vm}", super().store_address(vm))
 
+    def cut_from_store(self, vm: str) -> None:
+        """Cut a VM off from the store until the end of the run."""
+        rule = Rule(source=ANY_GROUP, target=f"store-{vm}", fault=Fault(cut=True))
+        self.proxy.set_rule(f"{vm}-without-store", rule)
+        self.history.spans.append(Span(vm, "store_cut", now(), float("inf")))
+
     def restart(self, vm: str) -> None:
         """Start a VM again after its end."""
         self.start_vm(vm, self.vms_by_id[vm].data_centre, first=False)
