--- a/tests/entry/test_malformed_entries.py
+++ b/tests/entry/test_malformed_entries.py
@@ -6,6 +6,7 @@
 
 import json
 import signal
+from functools import partial
 
 import gevent
 import pytest
@@ -28,6 +29,7 @@
 from lagoonlatch.standins.entry_fleet import EntryFleet, ask
 from lagoonlatch.standins.manual_clock import ManualClock
 from tests.entry.test_process import eventually
+from tests.soak.world import World
 from tests.steering.samples import make_upstream_table
 
 ROUTE = {
@@ -210,6 +212,24 @@
         assert restarted.process.poll() is None
 
 
+def test_odd_entries_in_what_other_vms_send_end_no_vm():
+    """The VM without the store gets them by calls: a batch, then a snapshot."""
+    with World(vms=4, instances=6) as fleet:
+        fleet.cut_from_store("vm-3")
+        for number, value in enumerate(ODD_UPSTREAMS.values()):
+            for prefix in ("servers/", VM_PREFIX, ROSTER_PREFIX):
+                fleet.store.put(f"{prefix}odd-{number}", value)
+        for restores in range(2):
+            key = f"later-{restores}"
+            fleet.configure(keys=(key,))
+            fields = {"Authorization": f"Token {key}"}
+            for vm in fleet.vms_by_id.values():
+                is_served = partial(ask, vm, "x", **fields)
+                assert eventually(lambda ask=is_served: ask() == 200, 10.0)
+                assert vm.process.poll() is None
+            fleet.store.restore(fleet.store.take_copy())
+
+
 ODD_TEXTS = {
     "deep lists": "[" * NESTING + "]" * NESTING,
     "deep objects": '{"x":' * NESTING + "0" + "}" * NESTING,
--- a/tests/entry/test_restore.py
+++ b/tests/entry/test_restore.py
@@ -220,6 +220,31 @@
     return vm.facts._evacuated_data_centres
 
 
+def test_a_vm_that_restarted_with_an_earlier_clock_is_ignored_for_a_limited_time():
+    """Its run is lower than that of its process before, which the others know."""
+    vm = Vm(vm_entry("vm-1", 48, run=5))
+    vm.restore(vm_entry("vm-1", 45, run=3, era=ERA + 1))
+    assert vm.facts.vms_by_id["vm-1"].run == 5
+    vm.pass_time(OLDER_ENTRY_HOLD_TIME + 1.0)
+    assert vm.facts.vms_by_id["vm-1"].run == 3
+
+
+def test_a_vm_that_restarted_with_an_earlier_clock_and_registers_is_listed_at_once():
+    vm = Vm(vm_entry("vm-1", 48, run=5))
+    vm.restore(vm_entry("vm-1", 44, run=5))
+    value = vm_entry("vm-1", 46, run=3, era=ERA + 1).value
+    vm.change(f"{VM_PREFIX}vm-1", value, 46, ERA + 1)
+    assert vm.facts.vms_by_id["vm-1"].run == 3
+
+
+def test_an_upstream_that_restarted_with_an_earlier_clock_is_used_after_a_while():
+    vm = Vm(server("i-1", 48, born=5, seq=2, state="draining"))
+    vm.restore(server("i-1", 45, born=3, seq=0))
+    assert vm.usable() == set()
+    vm.pass_time(OLDER_ENTRY_HOLD_TIME + 1.0)
+    assert vm.usable() == {"i-1"}
+
+
 def test_an_evacuation_that_the_copy_lacks_holds_until_it_is_written_again():
     """EVAC: it was acknowledged, so it binds."""
     vm = Vm(Entry("op/evacuate/n-b", b"{}", 49))
--- a/tests/entry/test_restore_fleet.py
+++ b/tests/entry/test_restore_fleet.py
@@ -136,6 +136,37 @@
     )
 
 
+@pytest.mark.parametrize("count", MAX_DELAY_MS_BY_COUNT)
+def test_a_restore_in_the_midst_of_a_change_with_a_region_cut_off(count, make_store):
+    """CONFIG: the version on its way is lost, and a region hears of neither."""
+    store = make_store(count)
+    network = store.network
+    network.send_heartbeats()
+    network.run(500.0)
+    copy = store.copy()
+    cut_off = network.members_by_region["south"]
+    for member in cut_off:
+        member.is_cut_off = True
+    store.configure()
+    network.run(5.0)
+    store.restore(copy)
+    network.run(MAX_DELAY_MS_BY_COUNT[count])
+    reachable = [m for m in network.members if m not in cut_off]
+    assert {m.replica.era for m in reachable} == {2}
+    store.configure()
+    network.run(MAX_DELAY_MS_BY_COUNT[count])
+    assert {m.facts.rules.version for m in reachable} == {store.version}
+    assert {m.facts.rules.version for m in cut_off} == {3}
+    for member in cut_off:
+        member.is_cut_off = False
+    for watcher in store._working_watchers():
+        store._read_snapshot(watcher)
+    network.run(MAX_DELAY_MS_BY_COUNT[count])
+    positions = {m.replica.knowledge.position for m in network.members}
+    assert positions == {(store.era, store.revision)}
+    assert {m.facts.rules.version for m in network.members} == {store.version}
+
+
 ACTIONS = st.lists(
     st.tuples(
         st.sampled_from(
--- a/tests/entry/test_restored_store.py
+++ b/tests/entry/test_restored_store.py
@@ -101,3 +101,17 @@
     assert statuses <= {0, 503, 200}
     assert 200 in statuses
     assert ask(started, "y", Authorization="Token old") == 401
+
+
+def test_vm_that_was_suspended_over_two_restores_follows_the_last(fleet):
+    fleet.signal("vm-2", signal.SIGSTOP)
+    for number in range(2):
+        stored = fleet.store.take_copy()
+        fleet.configure(keys=(f"lost-{number}",))
+        restore(fleet, stored)
+    fleet.configure(keys=("new",))
+    fleet.signal("vm-2", signal.SIGCONT)
+    for vm in fleet.vms_by_id.values():
+        assert eventually(lambda vm=vm: authorized(vm, "new"), 5.0)
+    is_used_by = drain(fleet, "i-0")
+    assert not any(is_used_by(vm, "new") for vm in fleet.vms_by_id.values())
