--- a/review/3/case.py
+++ b/review/3/case.py
@@ -9,8 +9,8 @@
 from bed import socket
 
 FAILING_SHARE = 0.45
-REQUESTS = 160
-INSTANCES = 7
+REQUESTS = 140
+INSTANCES = 8
 PROMISES = (408, 421, 429, 503)
 
 
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -7,7 +7,7 @@
 import gevent
 from bed import socket
 
-INSTANCES = 7
+INSTANCES = 8
 CALLERS = 6
 PAUSE_S = 0.25
 WORK_S = 0.4
