--- a/review/1/case.py
+++ b/review/1/case.py
@@ -61,7 +61,7 @@
 def run():
     """Run the case and return its exit code."""
     found = {"right": [], "wrong": [], "odd": [], "cut": []}
-    with b.Bed(Path(__file__).parent, {"norte-a": "norte"}) as bed:
+    with b.Bed(Path(__file__).parent, {"norte-a": "norte"}, MBPS) as bed:
         for i in range(2):
             bed.add_instance(
                 f"i-{i}",
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -9,9 +9,9 @@
 
 COLD_PER_S, COLD_EXCESS, COLD_SLACK, COLD_S = 8.6, 1.5, 5, 3.0
 MOST = COLD_PER_S * COLD_EXCESS + COLD_SLACK
-OUTAGES = 3
+OUTAGES = 2
 BETWEEN_S = 8.0
-OUTAGE_S = 5.0
+OUTAGE_S = 4.5
 DOWN_S = 2.0
 BACK_BEFORE_S = 1.0
 PACE_S = 0.05
@@ -22,7 +22,7 @@
 }  # fmt: skip
 VM_ZONES = [
     "norte-a", "norte-a", "norte-b", "norte-b", "centro-a", "centro-a", "centro-b",
-    "sul-a", "sul-a", "sul-b", "sul-b",
+    "sul-a", "sul-a", "sul-b",
 ]  # fmt: skip
 
 
@@ -73,6 +73,7 @@
     bed.record.note("they are back; they are cold")
     gevent.sleep(BACK_BEFORE_S)
     if b.TROUBLE:
+        bed.store.lapse()
         bed.store.refuse_with = None
         bed.record.note("the store is back")
     gevent.sleep(COLD_S - BACK_BEFORE_S + 0.5)
--- a/review/lib/bed.py
+++ b/review/lib/bed.py
@@ -199,6 +199,15 @@
     return head.encode() + body
 
 
+class Store(KvStoreStandin):
+    """The project's stand-in of the store, whose leases may run out in an outage."""
+
+    def lapse(self):
+        """Let all leases run out."""
+        for lease_id in list(self._leases_by_id):
+            self._end_lease(lease_id)
+
+
 class SlowLink:
     """A relay before a VM whose answers share one link of `mbps` and small windows."""
 
@@ -247,13 +256,13 @@
 class Bed:
     """The store, the instances and the VMs; a context manager that ends them all."""
 
-    def __init__(self, folder, zones, tag=""):
+    def __init__(self, folder, zones, link_mbps=1000.0):
         self.record = Record(folder)
         self.zones = zones
-        self.store = KvStoreStandin()
+        self.store = Store()
         self.vms = {}
         self.instances = {}
-        self._tag = tag
+        self._link_mbps = link_mbps
         self._beats = []
         self._ports = PortBlock()
         self._folder = tempfile.TemporaryDirectory(prefix="review-")
@@ -382,7 +391,7 @@
 cores = 1
 memory_mb = 300
 max_fds = 4100
-link_mbps = 1000.0
+link_mbps = {self._link_mbps}
 disk_mb = 0
 [tolerate]
 machines = 2
