Give reads and writes of a caller's connection timers of their own

Cause: the reader of a connection set the socket's timeout to its idle check interval of 500 ms while requests were pending, and gevent's `sendall` uses the timeout of the same socket. An answer that the kernel didn't accept within 500 ms failed with a part of it sent. `_finish` took this for a caller that had left, marked the answer as written, and the next answer followed the broken one. The write timeout of 10 s never decided, and the connection wasn't closed.

Evidence: the new tests fail before the change (pipelined answers, a download, a download with Connection: close, a slow but steady reader, bytes after a broken answer, requests behind a cancelled one). A sleep of the reader longer than the interval is the only disturbance in them.

Change: the socket has no timeout; each read and each write has its own timer. A write fails only if the caller accepts no bytes for 10 s; TCP_NOTSENT_LOWAT limits what the kernel holds, so that this shows the caller's progress. After a write that ended midway the connection is shut down and nothing more is written to it. Related paths: the interim 100 is written in the same way and not after an answer that closes the connection; a request that may not be cancelled no longer waits for ever behind a cancelled one.

--- a/lagoonlatch/entry/connection.py
+++ b/lagoonlatch/entry/connection.py
@@ -17,7 +17,11 @@
 from returns.result import Failure, Result, Success
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
-from lagoonlatch.entry.events import CallerBytesRejected, RequestCrashed
+from lagoonlatch.entry.events import (
+    AnswerCutOff,
+    CallerBytesRejected,
+    RequestCrashed,
+)
 from lagoonlatch.entry.journal import emit
 from lagoonlatch.entry.messages import (
     CONNECTION_FIELDS,
@@ -34,8 +38,13 @@
 EVENTS_BETWEEN_YIELDS = 8
 """Parser events handled before other greenlets may run; most requests have fewer."""
 
-WRITE_TIMEOUT: Millis = 10_000.0
-"""Time limit of writing an answer; after it the caller counts as gone."""
+STALLED_WRITE_TIMEOUT: Millis = 10_000.0
+"""A caller that accepts no bytes for so long counts as gone. A write that makes
+progress has no limit, since links to callers may be slow."""
+
+UNSENT_BYTES = 64 * 1024
+"""Limit of the bytes that the kernel holds unsent for a connection, so that writes show
+the caller's progress and waiting answers use memory that is counted."""
 
 CLOSE_TIMEOUT: Millis = 1_000.0
 """Time to wait for the caller to close the connection. Closing it earlier may cause a
@@ -121,6 +130,7 @@
         self._clock = clock
         self._pending_requests: list[_PendingRequest] = []
         self._is_closing = False
+        self._is_ended = False
         self._idle_since = clock.now()
         self._idle_timeout = limits().idle_timeout
         self._unread = b""
@@ -133,12 +143,13 @@
     def run(self) -> None:
         """Read and answer requests until either side ends the connection."""
         try:
-            self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._tune_socket()
             self._read_requests()
         except OSError:
             # The caller reset the connection, so there is nobody to answer.
             pass
         finally:
+            self._is_closing = self._is_ended = True
             self._cancel_requests()
             self._sock.close()
 
@@ -150,6 +161,15 @@
                 # The caller may have closed the connection already.
                 self._sock.shutdown(socket.SHUT_WR)
 
+    def _tune_socket(self) -> None:
+        # The reader and the writers share the socket, and its timeout would apply to
+        # both. Each of them sets a timer of its own instead.
+        self._sock.settimeout(None)
+        self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, UNSENT_BYTES
+        )
+
     def _read_requests(self) -> None:
         while not self._is_closing:
             if len(self._pending_requests) >= MAX_PIPELINED_REQUESTS:
@@ -199,6 +219,8 @@
             if event is h11.NEED_DATA:
                 if head is not None and parser.they_are_waiting_for_100_continue:
                     self._send_continue(pending)
+                    if self._is_closing:
+                        return Failure(_IgnoredRequest())
                 data = self._receive(started, head is not None, limits)
                 if data is None:
                     reason = "request not complete in time"
@@ -243,17 +265,46 @@
                 time_left = limits.header_timeout - (now - since)
                 if time_left <= 0.0:
                     return None
-            self._sock.settimeout(max(time_left, 1.0) / MILLIS_PER_SECOND)
-            try:
-                return self._sock.recv(_CHUNK_BYTES)
-            except TimeoutError:
-                continue
+            data = self._receive_within(time_left)
+            if data is not None:
+                return data
+
+    def _receive_within(self, timeout: Millis) -> bytes | None:
+        """Return the next bytes, b"" at the end, or None after `timeout`."""
+        timer = gevent.Timeout.start_new(max(timeout, 1.0) / MILLIS_PER_SECOND)
+        try:
+            return self._sock.recv(_CHUNK_BYTES)
+        except gevent.Timeout as error:
+            if error is not timer:
+                raise
+            return None
+        finally:
+            timer.close()
 
     def _send_continue(self, pending: _PendingRequest) -> None:
+        """Send an interim answer, unless an earlier answer closes the connection."""
         if pending.previous_answered is not None:
             pending.previous_answered.wait()
-        interim = h11.InformationalResponse(status_code=100, headers=[])
-        self._sock.sendall(pending.parser.send(interim))
+        if not self._is_closing:
+            interim = h11.InformationalResponse(status_code=100, headers=[])
+            self._send(pending.parser.send(interim))
+
+    def _send(self, data: bytes) -> None:
+        """Send all of `data`.
+
+        Raises
+        ------
+        OSError
+            If the caller is gone. Some of `data` may have been sent, and nothing may
+            follow it.
+        """
+        view = memoryview(data)
+        while view:
+            with gevent.Timeout(
+                STALLED_WRITE_TIMEOUT / MILLIS_PER_SECOND, TimeoutError
+            ):
+                sent = self._sock.send(view[:_CHUNK_BYTES])
+            view = view[sent:]
 
     def _start(self, pending: _PendingRequest) -> None:
         pending.must_close = pending.parser.their_state is h11.MUST_CLOSE
@@ -287,24 +338,32 @@
             pending.previous_answered.wait()
             pending.previous_answered = None
         try:
-            self._write(pending, answer)
-        except OSError:
-            # The caller is gone. The reader notices this too and closes the connection.
-            self._is_closing = True
+            if not self._is_ended:
+                self._write(pending, answer)
+        except OSError as error:
+            self._end(error)
         finally:
             self._pending_requests.remove(pending)
             self._idle_since = self._clock.now()
             self._idle_timeout = self._limits().idle_timeout
             pending.answered.set()
 
+    def _end(self, error: OSError) -> None:
+        """End the connection after an answer of which only a part may be written."""
+        self._is_closing = self._is_ended = True
+        emit(AnswerCutOff(why=error.strerror or str(error) or type(error).__name__))
+        with contextlib.suppress(OSError):
+            # The reader then finds the end of the stream, unless the caller has reset
+            # the connection already.
+            self._sock.shutdown(socket.SHUT_RDWR)
+
     def _write(self, pending: _PendingRequest, answer: CallerAnswer) -> None:
         is_last = self._pending_requests[-1] is pending and not self._unread
         must_close = pending.must_close or (self._is_stopping() and is_last)
         data = _encode(pending.parser, answer, must_close)
         if must_close:
             self._is_closing = True
-        with gevent.Timeout(WRITE_TIMEOUT / MILLIS_PER_SECOND, TimeoutError):
-            self._sock.sendall(data)
+        self._send(data)
         if must_close:
             self._sock.shutdown(socket.SHUT_WR)
 
@@ -316,12 +375,9 @@
                 deadline = deadline or self._clock.now() + CLOSE_TIMEOUT
                 if self._clock.now() >= deadline:
                     return
-            self._sock.settimeout(IDLE_CHECK_INTERVAL / MILLIS_PER_SECOND)
-            try:
-                if not self._sock.recv(_CHUNK_BYTES):
-                    return
-            except TimeoutError:
-                continue
+            data = self._receive_within(IDLE_CHECK_INTERVAL)
+            if data == b"":
+                return
             gevent.sleep(0)
 
     def _cancel_requests(self) -> None:
@@ -330,6 +386,8 @@
             request = pending.request
             if pending.greenlet is not None and (request is None or request.may_cancel):
                 pending.greenlet.kill(block=False)
+            # A request that may not be cancelled must not wait for one that was.
+            pending.answered.set()
 
 
 def _to_request(
--- a/lagoonlatch/entry/events.py
+++ b/lagoonlatch/entry/events.py
@@ -96,6 +96,13 @@
     why: str
 
 
+@log_event()
+class AnswerCutOff(LogEvent):
+    """An answer was not written whole, so its connection has been ended."""
+
+    why: str
+
+
 @log_event(logging.ERROR)
 class RequestCrashed(LogEvent):
     """A defect of this program ended a request."""
--- a/tests/entry/test_connection.py
+++ b/tests/entry/test_connection.py
@@ -7,8 +7,9 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from lagoonlatch.clock import Clock
-from lagoonlatch.entry.connection import CallerConnection
+from lagoonlatch.clock import MILLIS_PER_SECOND, Clock
+from lagoonlatch.entry import connection
+from lagoonlatch.entry.connection import IDLE_CHECK_INTERVAL, CallerConnection
 from lagoonlatch.entry.messages import CallerAnswer
 from lagoonlatch.steering.model import CallerLimits
 
@@ -355,3 +356,137 @@
     assert answer == b"" or statuses(answer) or answer == b"(reset)"
     session.task.join(2.0)
     assert session.task.ready()
+
+
+class BlobHandler:
+    """Answers with a body that belongs to the target alone."""
+
+    def __init__(self, size):
+        self.size = size
+
+    def body(self, target):
+        return (target + b"|") * (self.size // (len(target) + 1))
+
+    def handle(self, request):
+        return CallerAnswer(status=200, body=self.body(request.target))
+
+
+class SlowSession(Session):
+    """A connection whose caller reads nothing at first; small kernel buffers."""
+
+    def __init__(self, size):
+        super().__init__()
+        self.connection._handler = BlobHandler(size)
+
+    def read_answer(self):
+        """Return the body of the next answer."""
+        head = b""
+        while not head.endswith(b"\r\n\r\n"):
+            head += self.caller.recv(1)
+        assert head.startswith(b"HTTP/1.1 200 "), head
+        length = int(head.partition(b"Content-Length: ")[2].split(b"\r\n")[0])
+        body = b""
+        while len(body) < length:
+            chunk = self.caller.recv(length - len(body))
+            assert chunk, f"closed after {len(body)} of {length} bytes"
+            body += chunk
+        return body
+
+
+SLOW_READER_PAUSE_SECONDS: float = 1.5 * IDLE_CHECK_INTERVAL / MILLIS_PER_SECOND
+"""Longer than the interval at which the connection's reader wakes up."""
+
+
+def test_pipelined_answers_to_a_slow_reader_are_not_mixed():
+    session = SlowSession(size=600_000)
+    targets = [b"/a/%d" % number for number in range(3)]
+    session.send(b"".join(GET % (number, number) for number in range(3)))
+    for target in targets:
+        gevent.sleep(SLOW_READER_PAUSE_SECONDS)
+        assert session.read_answer() == session.connection._handler.body(target)
+
+
+def test_download_by_a_slow_reader_is_not_cut_off():
+    session = SlowSession(size=3_000_000)
+    session.send(GET % (1, 1))
+    gevent.sleep(SLOW_READER_PAUSE_SECONDS)
+    assert session.read_answer() == session.connection._handler.body(b"/a/1")
+
+
+def test_answer_to_a_closing_caller_that_reads_slowly_is_not_cut_off():
+    session = SlowSession(size=3_000_000)
+    get = GET % (1, 1)
+    session.send(get[:-2] + b"Connection: close\r\n\r\n")
+    gevent.sleep(SLOW_READER_PAUSE_SECONDS)
+    assert session.read_answer() == session.connection._handler.body(b"/a/1")
+    assert session.read_to_end() == b""
+
+
+def test_write_is_not_limited_in_total_while_the_caller_reads(monkeypatch):
+    monkeypatch.setattr(connection, "STALLED_WRITE_TIMEOUT", 300.0)
+    session = SlowSession(size=3_000_000)
+    session.send(GET % (1, 1))
+    expected = session.connection._handler.body(b"/a/1")
+    received = b""
+    while expected not in received:
+        # Ten pauses at least, together longer than the limit of a stalled write.
+        gevent.sleep(0.1)
+        chunk = session.caller.recv(300_000)
+        assert chunk, f"closed after {len(received)} bytes"
+        received += chunk
+    assert received.endswith(expected)
+
+
+def test_nothing_is_written_after_a_broken_answer(monkeypatch):
+    """After a partial write any further byte would belong to another answer."""
+    monkeypatch.setattr(connection, "STALLED_WRITE_TIMEOUT", 200.0)
+    session = SlowSession(size=600_000)
+    session.send(b"".join(GET % (number, number) for number in range(3)))
+    gevent.sleep(0.6)
+    assert session.task.ready()
+    data = session.read_to_end()
+    assert data.count(b"HTTP/1.1 200 ") == 1
+    assert len(data) < 600_000
+    assert b"/a/1" not in data
+
+
+def test_requests_behind_a_broken_answer_end(monkeypatch):
+    """No greenlet may wait for ever for an answer that is never written."""
+    monkeypatch.setattr(connection, "STALLED_WRITE_TIMEOUT", 200.0)
+    session = SlowSession(size=600_000)
+    pending = session.connection._pending_requests
+    session.send(b"".join(GET % (number, number) for number in range(3)))
+    gevent.sleep(0.1)
+    greenlets = [request.greenlet for request in pending]
+    gevent.joinall(greenlets, timeout=1.0)
+    assert len(greenlets) == 3
+    assert all(greenlet.ready() for greenlet in greenlets)
+
+
+def test_request_behind_a_cancelled_one_ends_when_the_caller_disconnects():
+    session = Session()
+    session.handler.may_answer.clear()
+    session.send((GET % (1, 1)) + (GET % (2, 2)))
+    gevent.sleep(0.05)
+    last = session.connection._pending_requests[-1]
+    last.request.may_cancel = False
+    session.caller.close()
+    gevent.sleep(0.05)
+    session.handler.may_answer.set()
+    last.greenlet.join(1.0)
+    assert last.greenlet.ready()
+
+
+def test_interim_answer_is_not_written_after_the_last_answer():
+    session = Session(is_stopping=True)
+    session.handler.may_answer.clear()
+    session.send(GET % (1, 1))
+    gevent.sleep(0.05)
+    session.send(
+        b"POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n"
+        b"Expect: 100-continue\r\n\r\n"
+    )
+    gevent.sleep(0.05)
+    session.handler.may_answer.set()
+    data = session.read_to_end()
+    assert statuses(data) == [200]
