Count answers until they are written, and pause reading at the limit

Answers to callers on slow links now stay in memory until they are accepted, and were counted only while they were read from their upstream. 50 downloads of 5 MB over 20 Mbit/s brought a VM to 475 MB, over 1,000 Mbit/s to 400 MB, of 300 allowed, and answers over the limit were given up as malformed.

Change: the limit counts an answer until its write has ended or its caller has left. At the limit, reading from upstreams stops until callers have accepted answers; 64 KiB of each answer are read at any time, so that small answers don't wait for large ones; the oldest large answer goes on, so that incomplete answers can't wait for each other without end. One answer may use no more than the limit. A large body is written without a copy. The gauge `answer_bytes` shows the sum.

`test_concurrent_endless_bodies_share_one_memory_limit` keeps its bound.

Downloads that get no memory within their deadline end with 504.

--- a/lagoonlatch/entry/connection.py
+++ b/lagoonlatch/entry/connection.py
@@ -22,6 +22,7 @@
     CallerBytesRejected,
     RequestCrashed,
 )
+from lagoonlatch.entry.exchange import AnswerMemoryLimit
 from lagoonlatch.entry.journal import emit
 from lagoonlatch.entry.messages import (
     CONNECTION_FIELDS,
@@ -113,6 +114,8 @@
         Returns the limits in force.
     is_stopping : callable
         Returns whether the VM is shutting down, so that answers close connections.
+    memory_limit : AnswerMemoryLimit
+        Counts answers until they are written.
     """
 
     def __init__(
@@ -121,12 +124,14 @@
         handler: Handler,
         limits: Callable[[], CallerLimits],
         is_stopping: Callable[[], bool],
+        memory_limit: AnswerMemoryLimit,
         clock: Clock,
     ) -> None:
         self._sock = sock
         self._handler = handler
         self._limits = limits
         self._is_stopping = is_stopping
+        self._memory_limit = memory_limit
         self._clock = clock
         self._pending_requests: list[_PendingRequest] = []
         self._is_closing = False
@@ -334,6 +339,10 @@
         self._finish(pending, answer)
 
     def _finish(self, pending: _PendingRequest, answer: CallerAnswer) -> None:
+        with self._memory_limit.hold_complete(len(answer.body)):
+            self._write_in_order(pending, answer)
+
+    def _write_in_order(self, pending: _PendingRequest, answer: CallerAnswer) -> None:
         if pending.previous_answered is not None:
             pending.previous_answered.wait()
             pending.previous_answered = None
@@ -360,10 +369,11 @@
     def _write(self, pending: _PendingRequest, answer: CallerAnswer) -> None:
         is_last = self._pending_requests[-1] is pending and not self._unread
         must_close = pending.must_close or (self._is_stopping() and is_last)
-        data = _encode(pending.parser, answer, must_close)
+        parts = _encode(pending.parser, answer, must_close)
         if must_close:
             self._is_closing = True
-        self._send(data)
+        for part in parts:
+            self._send(part)
         if must_close:
             self._sock.shutdown(socket.SHUT_WR)
 
@@ -417,7 +427,10 @@
     )
 
 
-def _encode(parser: h11.Connection, answer: CallerAnswer, must_close: bool) -> bytes:
+def _encode(
+    parser: h11.Connection, answer: CallerAnswer, must_close: bool
+) -> list[bytes]:
+    """Return the parts of an answer; a large body is a part of its own, not a copy."""
     headers = [
         (name, value)
         for name, value in answer.headers
@@ -432,7 +445,9 @@
     if answer.body:
         parts.append(parser.send(h11.Data(data=answer.body)))
     parts.append(parser.send(h11.EndOfMessage()))
-    return b"".join(part for part in parts if part)
+    if len(answer.body) > _CHUNK_BYTES:
+        return [part for part in parts if part]
+    return [b"".join(part for part in parts if part)]
 
 
 def _reason_phrase(status: int) -> bytes:
--- a/lagoonlatch/entry/exchange.py
+++ b/lagoonlatch/entry/exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import errno
 import itertools
 from collections.abc import Iterator
@@ -9,6 +10,7 @@
 import gevent
 import h11
 from gevent import socket
+from gevent.event import Event
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
 from lagoonlatch.entry.messages import (
@@ -48,6 +50,9 @@
 """Limit of the interim answers, and of the answers to other requests, that are skipped
 before the expected one. A faulty upstream may send them without end."""
 
+UNLIMITED_BYTES = 64 * 1024
+"""Bytes of an answer that are read even if answers use all memory that they may."""
+
 _CHUNK_BYTES = 64 * 1024
 _MISDIRECTED = 421
 _FIRST_SUCCESS, _FIRST_REDIRECT = 200, 300
@@ -79,7 +84,7 @@
         Parameters
         ----------
         memory_limit : AnswerMemoryLimit
-            Limits the memory of incomplete answers on all connections.
+            Limits the memory of the answers on all connections.
 
         Raises
         ------
@@ -161,7 +166,7 @@
         for _ in range(MAX_SKIPPED_ANSWERS):
             builder = _AnswerBuilder(self._memory_limit)
             try:
-                for event in self._events(parser, deadline):
+                for event in self._events(parser, builder, deadline):
                     builder.add(event)
             finally:
                 builder.release()
@@ -177,7 +182,9 @@
                 parser.receive_data(unread)
         raise _MalformedAnswerError(f"{MAX_SKIPPED_ANSWERS} answers to other requests")
 
-    def _events(self, parser: h11.Connection, deadline: Millis) -> Iterator[h11.Event]:
+    def _events(
+        self, parser: h11.Connection, builder: _AnswerBuilder, deadline: Millis
+    ) -> Iterator[h11.Event]:
         for number in itertools.count(1):
             if number % EVENTS_BETWEEN_YIELDS == 0:
                 # Let other greenlets run when bytes arrive faster than they are read.
@@ -186,6 +193,9 @@
                     raise TimeoutError
             event = parser.next_event()
             if event is h11.NEED_DATA:
+                self._memory_limit.wait_for_memory(
+                    builder, deadline - self._clock.now()
+                )
                 self._sock.settimeout(self._seconds_until(deadline))
                 data = self._sock.recv(_CHUNK_BYTES)
                 if not data:
@@ -230,26 +240,78 @@
 
 
 class AnswerMemoryLimit:
-    """Limits the memory that all incomplete answers of this VM use together.
+    """Limits the memory of all answers that this VM holds, until they are written.
+
+    An answer is incomplete while it is read from its upstream, then complete until its
+    caller has accepted it. At the limit, reading stops until callers have accepted
+    answers; each answer may have `UNLIMITED_BYTES` at any time, so that small answers
+    don't wait for large ones. Incomplete answers could wait for each other without end,
+    so the oldest of them may go on.
 
     Parameters
     ----------
     limit : int
-        Bytes that all incomplete answers may use together.
+        Bytes that all answers may use together, and that one answer may have.
     """
 
     def __init__(self, limit: int) -> None:
-        self._limit = limit
-        self._used_bytes = 0
+        self.limit = limit
+        self._complete_bytes = 0
+        self._incomplete_bytes = 0
+        # In the order of their first bytes beyond those that are not limited.
+        self._large_incomplete: dict[object, None] = {}
+        self._released = Event()
+
+    @property
+    def used_bytes(self) -> int:
+        """Bytes that all answers use."""
+        return self._incomplete_bytes + self._complete_bytes
+
+    def add_incomplete(self, answer: object, size: int, total: int) -> None:
+        """Count `size` more bytes of an incomplete answer that now has `total`."""
+        self._incomplete_bytes += size
+        if total > UNLIMITED_BYTES:
+            self._large_incomplete[answer] = None
+
+    def release_incomplete(self, answer: object, total: int) -> None:
+        """Subtract the bytes of an answer that is complete or given up."""
+        self._incomplete_bytes -= total
+        self._large_incomplete.pop(answer, None)
+        self._wake_readers()
+
+    @contextlib.contextmanager
+    def hold_complete(self, size: int) -> Iterator[None]:
+        """Count `size` bytes of a complete answer until its write has ended."""
+        self._complete_bytes += size
+        try:
+            yield
+        finally:
+            self._complete_bytes -= size
+            self._wake_readers()
+
+    def wait_for_memory(self, answer: object, timeout: Millis) -> None:
+        """Wait until more bytes of an incomplete answer may be read.
+
+        Raises
+        ------
+        TimeoutError
+            If there is no memory within `timeout`.
+        """
+        if self._may_grow(answer):
+            return
+        with gevent.Timeout(max(timeout, 1.0) / MILLIS_PER_SECOND, TimeoutError):
+            while not self._may_grow(answer):
+                self._released.wait()
 
-    def add(self, size: int) -> bool:
-        """Count `size` more bytes; return False if the limit is exceeded."""
-        self._used_bytes += size
-        return self._used_bytes <= self._limit
+    def _may_grow(self, answer: object) -> bool:
+        if answer not in self._large_incomplete or self.used_bytes <= self.limit:
+            return True
+        is_oldest = answer is next(iter(self._large_incomplete))
+        return is_oldest and self._complete_bytes <= self.limit
 
-    def release(self, size: int) -> None:
-        """Subtract `size` bytes that are no longer used."""
-        self._used_bytes -= size
+    def _wake_readers(self) -> None:
+        released, self._released = self._released, Event()
+        released.set()
 
 
 class _Sender:
@@ -292,14 +354,13 @@
                 )
         elif isinstance(event, h11.Data):
             self._body += event.data
-            is_within_limit = self._memory_limit.add(len(event.data))
-            if len(self._body) > MAX_ANSWER_BYTES:
-                raise _MalformedAnswerError(f"answer of over {MAX_ANSWER_BYTES} bytes")
-            if not is_within_limit:
-                raise _MalformedAnswerError("answers hold too much memory together")
+            self._memory_limit.add_incomplete(self, len(event.data), len(self._body))
+            max_bytes = min(MAX_ANSWER_BYTES, self._memory_limit.limit)
+            if len(self._body) > max_bytes:
+                raise _MalformedAnswerError(f"answer of over {max_bytes} bytes")
 
     def release(self) -> None:
-        self._memory_limit.release(len(self._body))
+        self._memory_limit.release_incomplete(self, len(self._body))
 
     def build(self) -> UpstreamAnswer:
         assert self._head is not None, "an answer ends after its head"
--- a/lagoonlatch/entry/pool.py
+++ b/lagoonlatch/entry/pool.py
@@ -15,7 +15,7 @@
     Parameters
     ----------
     memory_limit : AnswerMemoryLimit
-        Limits the memory of incomplete answers on all connections.
+        Limits the memory of the answers on all connections.
     """
 
     def __init__(self, memory_limit: AnswerMemoryLimit, clock: Clock) -> None:
--- a/lagoonlatch/entry/process.py
+++ b/lagoonlatch/entry/process.py
@@ -92,8 +92,8 @@
 harmless request may be running at two upstreams that die for another reason."""
 
 ANSWER_MEMORY_FRACTION = 0.25
-"""Fraction of the VM's memory for answers that are not complete yet. The copy for the
-caller and the process itself need the rest."""
+"""Fraction of the VM's memory for answers that are read or not yet written. Answers may
+use twice as much for a short time, and the process itself needs the rest."""
 
 OUTPUT_TIMEOUT: Millis = 200.0
 """How long an ending process waits until its last log lines are read."""
@@ -271,7 +271,7 @@
             self._peers.send_to_address,
             clock,
         )
-        answer_memory_limit = AnswerMemoryLimit(
+        answer_memory_limit = self._answer_memory_limit = AnswerMemoryLimit(
             round(settings.memory_bytes * ANSWER_MEMORY_FRACTION)
         )
         self._pool = ConnectionPool(answer_memory_limit, clock)
@@ -408,6 +408,11 @@
         add("vms", "VMs that callers may be sent to", lambda: len(self._ready_vms()))
         add("waiting_requests", "Waiting for a slot", lambda: len(self._waiting_queue))
         add("caller_connections", "Open", lambda: len(self._connections))
+        add(
+            "answer_bytes",
+            "Of answers that are read or not yet written",
+            lambda: self._answer_memory_limit.used_bytes,
+        )
 
     def _report_odd_era(self, text: str) -> None:
         self._metrics.odd_era_received()
@@ -449,6 +454,7 @@
             self._handler,
             self._caller_limits,
             self._stop_requested.is_set,
+            self._answer_memory_limit,
             self._clock,
         )
         self._connections.add(connection)
--- a/tests/entry/test_connection.py
+++ b/tests/entry/test_connection.py
@@ -10,6 +10,7 @@
 from lagoonlatch.clock import MILLIS_PER_SECOND, Clock
 from lagoonlatch.entry import connection
 from lagoonlatch.entry.connection import IDLE_CHECK_INTERVAL, CallerConnection
+from lagoonlatch.entry.exchange import AnswerMemoryLimit
 from lagoonlatch.entry.messages import CallerAnswer
 from lagoonlatch.steering.model import CallerLimits
 
@@ -48,6 +49,7 @@
     def __init__(self, limits=LIMITS, is_stopping=False):
         self.handler = EchoHandler()
         self.is_stopping = is_stopping
+        self.memory_limit = AnswerMemoryLimit(1_000_000)
         self.caller, server = socket.socketpair()
         self.caller.settimeout(READ_TIMEOUT_SECONDS)
         self.connection = CallerConnection(
@@ -55,6 +57,7 @@
             self.handler,
             lambda: limits,
             lambda: self.is_stopping,
+            self.memory_limit,
             Clock(),
         )
         self.task = gevent.spawn(self.connection.run)
@@ -490,3 +493,25 @@
     session.handler.may_answer.set()
     data = session.read_to_end()
     assert statuses(data) == [200]
+
+
+def test_answer_that_is_not_written_yet_counts_as_used_memory():
+    session = SlowSession(size=3_000_000)
+    session.send(GET % (1, 1))
+    gevent.sleep(0.1)
+    body = session.connection._handler.body(b"/a/1")
+    assert session.memory_limit.used_bytes == len(body)
+    assert session.read_answer() == body
+    gevent.sleep(0.01)
+    assert session.memory_limit.used_bytes == 0
+
+
+def test_answers_of_a_caller_that_has_left_use_no_memory():
+    session = SlowSession(size=600_000)
+    session.send(b"".join(GET % (number, number) for number in range(3)))
+    gevent.sleep(0.1)
+    assert session.memory_limit.used_bytes > 1_500_000
+    session.caller.close()
+    session.task.join(1.0)
+    gevent.sleep(0.01)
+    assert session.memory_limit.used_bytes == 0
--- a/tests/entry/test_endless.py
+++ b/tests/entry/test_endless.py
@@ -99,7 +99,7 @@
     assert peak < MAX_MEMORY_BYTES
     assert pause_meter.stop() < MAX_PAUSE_SECONDS
     assert upstream.closed == [True]
-    assert not memory_limit._used_bytes
+    assert not memory_limit.used_bytes
     upstream.stop()
 
 
@@ -140,7 +140,7 @@
     tracemalloc.stop()
     assert all(isinstance(task.value, Unknown) for task in tasks)
     assert peak < 3 * limit + MAX_MEMORY_BYTES
-    assert not memory_limit._used_bytes
+    assert not memory_limit.used_bytes
     for upstream in upstreams:
         upstream.stop()
 
