Answer 502 when an upstream has run an unsafe request and denies it by status

Cause: `RequestHandler._handle_answer` forwarded every whole answer as it was. An upstream that turns a request away says so with Not-Run or with 421 for another instance; any other answer comes from an upstream that may have run the request, whatever its status. 408, 421, 429 and 503 promise the caller that it hasn't.

Change: for routes whose requests may run once only, such an answer becomes a 502 of this VM without the upstream's fields and body. Callers of idempotent routes still get the upstream's answer unchanged, also one that was kept from an earlier attempt. The log line names the upstream's own status (`upstream_status`).

Evidence: the new tests in test_handling.py fail before the change for 408, 421, 429 and 503, as the first answer and after an attempt that turned the request away. `test_notices_of_the_upstream_are_not_forwarded_to_callers` expected the fault (an unsafe request's 503); it now checks a safe route's 503 and the unsafe route's 502, with the same fields forbidden in both. The stand-in and the soak have upstreams that fail after the run with 408, 429, 500 or 503; the oracle also checks that a failure with a stamp has the status that the upstream gave, and finds two planted faults.

--- a/lagoonlatch/entry/events.py
+++ b/lagoonlatch/entry/events.py
@@ -50,7 +50,8 @@
 class RequestEnded(LogEvent):
     """A request got its final answer; `why` is empty if nothing went wrong.
 
-    `limited_by` is an upstream whose rate limit sent the request elsewhere.
+    `upstream_status` is the status of the latest whole answer of an upstream, 0 without
+    one. `limited_by` is an upstream whose rate limit sent the request elsewhere.
     """
 
     request: str
@@ -60,6 +61,7 @@
     service: str
     organisation: str
     upstream: str
+    upstream_status: int
     limited_by: str
     attempts: int
     waited_ms: int
--- a/lagoonlatch/entry/handling.py
+++ b/lagoonlatch/entry/handling.py
@@ -59,6 +59,9 @@
 
 _RETRIED_STATUSES = frozenset({500, 502, 503, 504})
 
+_NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+"""Statuses that tell a caller that its request has not run and never will."""
+
 
 @dataclass
 class _RequestContext:
@@ -78,6 +81,8 @@
         The latest error answer, which the caller gets if no retry succeeds.
     last_upstream : str
         Id of the upstream that was tried last.
+    upstream_status : int
+        Status of the latest answer of an upstream; 0 without one.
     waited : Millis
         Time spent waiting for slots.
     fingerprint : str
@@ -97,6 +102,7 @@
     may_have_run: bool = False
     failed_answer: UpstreamAnswer | None = None
     last_upstream: str = ""
+    upstream_status: int = 0
     waited: Millis = 0.0
     fingerprint: str = ""
     limited_by: str = ""
@@ -486,12 +492,28 @@
         self, context: _RequestContext, answer: UpstreamAnswer
     ) -> CallerAnswer | None:
         context.may_have_run = True
+        context.upstream_status = answer.status
         if answer.status in _RETRIED_STATUSES and self._may_retry(context):
             context.failed_answer = answer
             return None
         failed = answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
-        self._finish(context, answer.status, "upstream failed" if failed else "")
-        return _forward_answer(answer)
+        return self._forward(context, answer, "upstream failed" if failed else "")
+
+    def _forward(
+        self, context: _RequestContext, answer: UpstreamAnswer, reason: str
+    ) -> CallerAnswer:
+        """Return the answer of an upstream that has run the request.
+
+        A caller whose request may run once only sends it again after a status that says
+        that it has not run, so it gets 502 instead, which says nothing of the kind.
+        """
+        is_misleading = answer.status in _NOT_RUN_STATUSES
+        if is_misleading and not context.route.is_idempotent:
+            self._finish(context, HTTPStatus.BAD_GATEWAY, "upstream status withheld")
+            return CallerAnswer(status=HTTPStatus.BAD_GATEWAY)
+        self._finish(context, answer.status, reason)
+        headers = for_callers(answer.status, answer.headers)
+        return CallerAnswer(status=answer.status, headers=headers, body=answer.body)
 
     def _may_retry(self, context: _RequestContext) -> bool:
         return context.route.is_idempotent and (
@@ -506,8 +528,7 @@
     ) -> CallerAnswer:
         """Return the answer to a request that gets no further attempt."""
         if context.failed_answer is not None:
-            self._finish(context, context.failed_answer.status, reason)
-            return _forward_answer(context.failed_answer)
+            return self._forward(context, context.failed_answer, reason)
         if not context.may_have_run:
             self._finish(context, HTTPStatus.SERVICE_UNAVAILABLE, reason)
             return _make_refusal(retry_delay)
@@ -526,6 +547,7 @@
             service=context.service,
             organisation=organisation.id if organisation is not None else "",
             upstream=context.last_upstream,
+            upstream_status=context.upstream_status,
             limited_by=context.limited_by,
             attempts=context.attempts,
             waited=context.waited,
@@ -541,6 +563,7 @@
         service: str = "",
         organisation: str = "",
         upstream: str = "",
+        upstream_status: int = 0,
         limited_by: str = "",
         attempts: int = 0,
         waited: Millis = 0.0,
@@ -557,6 +580,7 @@
                 service=service,
                 organisation=organisation,
                 upstream=upstream,
+                upstream_status=upstream_status,
                 limited_by=limited_by,
                 attempts=attempts,
                 waited_ms=round(waited),
@@ -627,11 +651,6 @@
     )
 
 
-def _forward_answer(answer: UpstreamAnswer) -> CallerAnswer:
-    headers = for_callers(answer.status, answer.headers)
-    return CallerAnswer(status=answer.status, headers=headers, body=answer.body)
-
-
 def _make_refusal(retry_delay: Millis) -> CallerAnswer:
     return CallerAnswer(
         status=HTTPStatus.SERVICE_UNAVAILABLE, headers=[retry_after(retry_delay)]
--- a/lagoonlatch/standins/instance.py
+++ b/lagoonlatch/standins/instance.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import time
 from collections import Counter
 from collections.abc import Callable, Iterable
@@ -43,6 +44,13 @@
         Whether it says in all its answers that it leaves.
     rest : Millis or None
         Requests are turned away while it is set; it is what they are told to wait.
+    failure_status : int or None
+        Status of the answers to the requests that fail after they have run; None if
+        none fails.
+    failing_share : float
+        Share of the requests that fail while `failure_status` is set.
+    status_by_request : dict
+        Status of the answer to each request that has run.
     rate_limit : float or None
         Requests a second that it says in all its answers that it takes.
     arrivals : list of tuple
@@ -62,6 +70,9 @@
         self.born = 1
         self.is_leaving = False
         self.rest: Millis | None = None
+        self.failure_status: int | None = None
+        self.failing_share = 0.5
+        self.status_by_request: dict[str, int] = {}
         self.rate_limit: float | None = None
         self.arrivals: list[tuple[Millis, str]] = []
         self.leaving_told: list[tuple[Millis, str]] = []
@@ -154,6 +165,11 @@
             self._running -= 1
         headers.append(("Server-Stamp", f"stamp-{self.id}-{request}"))
         headers.append(("Server-Load", f"{self._running},0,{self._slots}"))
+        if self.failure_status and random.random() < self.failing_share:
+            self.status_by_request[request] = self.failure_status
+            start(f"{self.failure_status} Failed", headers)
+            return [b"failed"]
+        self.status_by_request[request] = 200
         start("200 OK", headers)
         return [body or environ["PATH_INFO"].encode()]
 
--- a/tests/entry/test_handling.py
+++ b/tests/entry/test_handling.py
@@ -3,6 +3,7 @@
 import gevent
 import pytest
 
+from lagoonlatch.entry import handling
 from lagoonlatch.entry.facts import Facts
 from lagoonlatch.entry.handling import RequestHandler, SlotWaiter
 from lagoonlatch.entry.messages import (
@@ -276,6 +277,52 @@
     assert harness.send_request().status == 500
 
 
+NOT_RUN_STATUSES = [408, 421, 429, 503]
+
+
+@pytest.mark.parametrize("status", NOT_RUN_STATUSES)
+@pytest.mark.parametrize("earlier", [[], [TURNED_AWAY], [REFUSED]])
+def test_unsafe_request_that_has_run_is_not_answered_as_not_run(status, earlier):
+    """The caller would send it again, and it would run twice."""
+    harness = HandlerHarness(
+        *earlier, Answered(make_answer(status, b"failed")), kind=RouteKind.UNSAFE
+    )
+    answer = harness.send_request()
+    assert (answer.status, answer.headers, answer.body) == (502, [], b"")
+    assert len(harness.tried_upstreams()) == len(earlier) + 1
+
+
+@pytest.mark.parametrize("status", [400, 403, 404, 409, 413, 500, 502, 504])
+def test_other_failures_of_an_unsafe_request_are_forwarded_unchanged(status):
+    harness = HandlerHarness(
+        Answered(make_answer(status, b"failed")), kind=RouteKind.UNSAFE
+    )
+    answer = harness.send_request()
+    assert (answer.status, answer.body) == (status, b"failed")
+    assert (b"Server-Stamp", b"s") in answer.headers
+
+
+@pytest.mark.parametrize("kind", [RouteKind.SAFE, RouteKind.DOWNLOAD])
+@pytest.mark.parametrize("status", NOT_RUN_STATUSES)
+def test_failure_of_an_idempotent_request_is_forwarded_unchanged(status, kind):
+    harness = HandlerHarness(
+        *[Answered(make_answer(status, b"failed"))] * 2, kind=kind, max_attempts=2
+    )
+    answer = harness.send_request()
+    assert (answer.status, answer.body) == (status, b"failed")
+    assert (b"Server-Stamp", b"s") in answer.headers
+
+
+def test_log_line_names_the_status_that_the_upstream_gave(monkeypatch):
+    lines = []
+    monkeypatch.setattr(handling, "emit", lines.append)
+    harness = HandlerHarness(Answered(make_answer(503)), kind=RouteKind.UNSAFE)
+    harness.send_request()
+    (line,) = lines
+    assert (line.status, line.upstream_status) == (502, 503)
+    assert line.why == "upstream status withheld"
+
+
 def test_request_is_answered_at_its_timeout():
     harness = HandlerHarness(TIMED_OUT, timeout=1_200.0)
     started = harness.clock.now()
@@ -425,11 +472,12 @@
 def test_notices_of_the_upstream_are_not_forwarded_to_callers():
     answer = make_answer(503)
     answer.headers.extend([(b"Retry-After", b"9"), (b"Server-Leaving", b"1")])
-    harness = HandlerHarness(Answered(answer), kind=RouteKind.UNSAFE)
-    forwarded = harness.send_request()
-    assert forwarded.status == 503
-    names = {name for name, _ in forwarded.headers}
-    assert not names & {b"Retry-After", b"Server-Leaving"}
+    for kind, status in ((RouteKind.SAFE, 503), (RouteKind.UNSAFE, 502)):
+        harness = HandlerHarness(Answered(answer), kind=kind, max_attempts=1)
+        forwarded = harness.send_request()
+        assert forwarded.status == status
+        names = {name for name, _ in forwarded.headers}
+        assert not names & {b"Retry-After", b"Server-Leaving"}
 
 
 def limit_all(harness, wait, names=("u1", "u2", "u3")):
--- a/tests/soak/kinds.py
+++ b/tests/soak/kinds.py
@@ -287,6 +287,19 @@
         instance.rest = None
 
 
+@kind
+def upstream_fails(world: World, rng: random.Random, duration: Millis) -> None:
+    """Let an upstream fail some requests after it has run them, health checks not."""
+    name = _any_instance(world, rng)
+    if _is_busy(world, name):
+        return
+    instance = world.instances_by_id[name]
+    with _Disturbed(world, "upstream_fails", name):
+        instance.failure_status = rng.choice([408, 429, 500, 503])
+        _sleep(duration)
+        instance.failure_status = None
+
+
 @kind
 def upstream_names_limit(world: World, rng: random.Random, duration: Millis) -> None:
     """Let an upstream name a rate limit, change it, and take it back."""
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -59,6 +59,8 @@
             yield f"{asked.id}: unsafe and run {runs[asked.id]} times"
         if asked.is_unsafe and asked.status in PROMISES and runs[asked.id]:
             yield f"{asked.id}: run, though answered {asked.status}"
+        if asked.has_stamp and asked.status not in _upstream_statuses(world, asked):
+            yield f"{asked.id}: {asked.status} with the stamp of another status"
         after = asked.ended - asked.sent
         is_crossing = not runs[asked.id] and after <= CROSSING
         is_unanswered = asked.status == 0 and not asked.problem and not is_crossing
@@ -79,6 +81,15 @@
     yield from _limit_problems(world)
 
 
+def _upstream_statuses(world: World, asked: Asked) -> set[int]:
+    """Return the statuses that upstreams gave to a request."""
+    return {
+        instance.status_by_request[asked.id]
+        for instance in world.instances_by_id.values()
+        if asked.id in instance.status_by_request
+    }
+
+
 def _own_ends(world: World) -> Iterator[str]:
     for vm in world.vms_by_id.values():
         if vm.process.poll() is not None:
--- a/tests/soak/planted.py
+++ b/tests/soak/planted.py
@@ -64,6 +64,30 @@
     RequestHandler._give_up = promise
 
 
+@plant
+def upstream_promise_forwarded() -> None:
+    """Forward any status of an upstream, also of one that has run the request."""
+    from lagoonlatch.entry import handling
+
+    handling._NOT_RUN_STATUSES = frozenset()
+
+
+@plant
+def stamp_on_own_failure() -> None:
+    """Replace the status of a failed upstream but keep its other fields."""
+    from dataclasses import replace
+
+    from lagoonlatch.entry.handling import RequestHandler
+
+    forward = RequestHandler._forward
+
+    def keep_fields(self, context, answer, reason):
+        sent = forward(self, context, answer, reason)
+        return replace(sent, headers=answer.headers)
+
+    RequestHandler._forward = keep_fields
+
+
 @plant
 def evacuation_ignored() -> None:
     """Go on sending to evacuated data centres."""
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -42,6 +42,20 @@
     assert verdict.problems
 
 
+@pytest.mark.parametrize(
+    "planted", ["upstream_promise_forwarded", "stamp_on_own_failure"]
+)
+def test_a_misleading_answer_to_a_request_that_has_run_is_found(planted):
+    """An upstream fails after the run with a status that says that there was none."""
+    verdict = play(7, 8_000.0, planted=planted, kinds=("upstream_fails",))
+    assert verdict.problems
+
+
+def test_answers_to_requests_that_have_run_promise_nothing():
+    verdict = play(7, 8_000.0, kinds=("upstream_fails",))
+    assert not verdict.problems
+
+
 RESTORE_KINDS = ("store_restored", "keys_change", "upstream_leaves")
 RESTORE_PLANTS = ("era_ignored", "era_heeded_by_watchers_only")
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -49,6 +49,7 @@
     sent: Millis
     ended: Millis = 0.0
     status: int = 0
+    has_stamp: bool = False
     problem: str = ""
 
 
@@ -252,6 +253,7 @@
         asked.status = int(head.split()[1])
         length = int(headers.get("content-length", "0"))
         body = self._read_bytes(length)
+        asked.has_stamp = "server-stamp" in headers
         if asked.status == 200:
             path = asked.id if asked.is_unsafe else f"/look/{asked.id}"
             if body != path.encode() or headers.get("request-id") != asked.id:
