Count a crash of an upstream once, and let a refused request clear itself

Cause: each request that a crash cut off registered a callback of its own, and `Quarantine.count_death` counted one death for each of them. Three equal requests reached the limit at one crash. Other VMs took the count over, and as a refused request never runs, no answer could clear it. An answer cleared the count at one VM only.

Change: `steering/crashes.py` replaces the quarantine of the entry VM. A crash is named by the upstream's id and the start of its run; requests and VMs that noticed the same crash add one piece of evidence. Upstreams that crash together for a reason of their own count once: a crash counts only if the request was sent there after the previous one that counts. At three crashes the request is refused for a minute, doubled by each further crash up to ten minutes; then one request at a time runs, without a retry. A whole answer clears the suspicion at all VMs. Reports between VMs carry the crashes and their ages. A report of an earlier build, which may count one crash several times, counts as one; an earlier build reads the number of crashes as before.

The stand-in can crash; before, its running requests went on and were answered after `stop`. The soak has crashes and equal requests on a route without retries.

Not changed: the earlier daemon's quarantine (upstreams/quarantine.py) counts in the same way.

--- a/lagoonlatch/entry/attempts.py
+++ b/lagoonlatch/entry/attempts.py
@@ -24,8 +24,8 @@
 from lagoonlatch.entry.pool import ConnectionPool
 from lagoonlatch.entry.probes import Prober
 from lagoonlatch.steering.admission import Admission
+from lagoonlatch.steering.crashes import Crash, CrashQuarantine
 from lagoonlatch.steering.upstreams import UpstreamState, UpstreamTable
-from lagoonlatch.upstreams.quarantine import Quarantine, SuspectReport
 
 GRANT_LIFETIME: Millis = 500.0
 """A request that is sent later than this after its slot was granted counts towards the
@@ -40,7 +40,7 @@
     Parameters
     ----------
     report_suspect : callable
-        Reports to the other VMs a request that may have crashed an upstream.
+        Reports to the other VMs what this VM knows of the request with a fingerprint.
     """
 
     def __init__(
@@ -49,8 +49,8 @@
         pool: ConnectionPool,
         prober: Prober,
         admission: Admission,
-        quarantine: Quarantine,
-        report_suspect: Callable[[SuspectReport], None],
+        quarantine: CrashQuarantine,
+        report_suspect: Callable[[str], None],
         notices: UpstreamNotices,
         metrics: EntryMetrics,
         clock: Clock,
@@ -81,9 +81,14 @@
             Identifies the request; the same if the caller sends the request again.
         """
         started = self._clock.now()
+        born = upstream.record.born
         outcome = self._exchange(upstream, request, time_left)
-        duration = self._clock.now() - started
-        self._update_state(upstream, outcome, fingerprint, started)
+        ended = self._clock.now()
+        duration = ended - started
+        possible_crash = Crash(
+            upstream=upstream.record.id, born=born, sent_at=started, ended_at=ended
+        )
+        self._update_state(upstream, outcome, fingerprint, possible_crash)
         self._record(upstream, request, outcome, duration)
         if (
             isinstance(outcome, Answered)
@@ -155,11 +160,13 @@
         upstream: UpstreamState,
         outcome: Outcome,
         fingerprint: str,
-        started: Millis,
+        possible_crash: Crash,
     ) -> None:
+        started = possible_crash.sent_at
         match outcome:
             case Answered(answer):
-                self._quarantine.clear(fingerprint)
+                if self._quarantine.clear(fingerprint):
+                    self._report_suspect(fingerprint)
                 self._update_load(upstream, answer)
                 self._notices.handle_answer(upstream, answer, started)
                 if answer.status < _FIRST_SERVER_ERROR:
@@ -180,17 +187,21 @@
                 upstream.note_failure()
                 if not self._pool.has_open(upstream.record):
                     self._prober.suspect(
-                        upstream, reason, lambda: self._record_death(fingerprint)
+                        upstream,
+                        reason,
+                        lambda: self._record_crash(fingerprint, possible_crash),
                     )
             case Unknown():
                 upstream.note_failure()
 
-    def _record_death(self, fingerprint: str) -> None:
-        """Count a probable crash caused by a request; report it to other VMs."""
-        report = self._quarantine.count_death(fingerprint)
-        self._report_suspect(report)
+    def _record_crash(self, fingerprint: str, crash: Crash) -> None:
+        """Record a crash of an upstream that ran a request; report it if it is new."""
+        if not self._quarantine.add(fingerprint, [crash]):
+            return
+        self._report_suspect(fingerprint)
         if self._quarantine.refused_for(fingerprint):
-            emit(RequestQuarantined(fingerprint=fingerprint, deaths=report.deaths))
+            deaths = self._quarantine.count(fingerprint)
+            emit(RequestQuarantined(fingerprint=fingerprint, deaths=deaths))
 
     def _update_load(self, upstream: UpstreamState, answer: UpstreamAnswer) -> None:
         load = answer.fields.load
--- a/lagoonlatch/entry/handling.py
+++ b/lagoonlatch/entry/handling.py
@@ -40,13 +40,13 @@
     retry_delay_after_rest,
 )
 from lagoonlatch.steering.allowances import Allowances
+from lagoonlatch.steering.crashes import CRASH_LIMIT, CrashQuarantine
 from lagoonlatch.steering.model import Organisation, Route
 from lagoonlatch.steering.placement import Candidates, Placement, PlacementRequest
 from lagoonlatch.steering.queueing import RequestPriority, WaitingQueue
 from lagoonlatch.steering.retries import RetryBudget
 from lagoonlatch.steering.splits import Splitter
 from lagoonlatch.steering.upstreams import UpstreamState
-from lagoonlatch.upstreams.quarantine import Quarantine
 
 UNREADY_RETRY_DELAY: Millis = 1_000.0
 """Delay after which a caller retries at a VM that has no configuration yet."""
@@ -179,7 +179,7 @@
         waiting_queue: WaitingQueue,
         slot_client: SlotClient,
         borrow: Callable[[str], bool],
-        quarantine: Quarantine,
+        quarantine: CrashQuarantine,
         metrics: EntryMetrics,
         clock: Clock,
     ) -> None:
@@ -263,7 +263,7 @@
             deadline=min(request.received + timeout, self._ends_at),
             fingerprint=_fingerprint(request, organisation),
         )
-        remaining_quarantine = self._quarantine.refused_for(context.fingerprint)
+        remaining_quarantine = self._quarantine.admit(context.fingerprint)
         if remaining_quarantine > 0.0:
             return self._give_up(context, "quarantined", remaining_quarantine)
         if organisation is not None:
@@ -516,8 +516,10 @@
         return CallerAnswer(status=answer.status, headers=headers, body=answer.body)
 
     def _may_retry(self, context: _RequestContext) -> bool:
-        return context.route.is_idempotent and (
-            context.attempts < context.route.max_attempts
+        return (
+            context.route.is_idempotent
+            and context.attempts < context.route.max_attempts
+            and self._quarantine.count(context.fingerprint) < CRASH_LIMIT
         )
 
     def _give_up(
--- a/lagoonlatch/entry/peer.thrift
+++ b/lagoonlatch/entry/peer.thrift
@@ -192,12 +192,25 @@
   3: bool is_ended,
 }
 
+// The crash of one run of an upstream that was running a request.
+struct Crash {
+  1: string upstream,
+  2: double born,
+  // Milliseconds since the request was sent and since the crash was noticed.
+  3: double sent_age,
+  4: double ended_age,
+}
+
 // Reports a request that has ended upstreams which ran it.
 struct Suspect {
   1: string fingerprint,
   2: i32 deaths,
   // Milliseconds for which the count is valid.
   3: double duration,
+  // The crashes that `deaths` counts; a VM of an earlier build sends none.
+  4: optional list<Crash> crashes,
+  // A request got a whole answer, so that earlier crashes no longer count.
+  5: optional bool cleared,
 }
 
 // Exactly one field is set, apart from `spread`, which accompanies a batch or patch
--- a/lagoonlatch/entry/peers.py
+++ b/lagoonlatch/entry/peers.py
@@ -39,6 +39,7 @@
     Verdict,
 )
 from lagoonlatch.entry.generated.ttypes import Batch as WireBatch
+from lagoonlatch.entry.generated.ttypes import Crash as WireCrash
 from lagoonlatch.entry.journal import emit
 from lagoonlatch.entry.loans import Borrower
 from lagoonlatch.entry.outage import OutageDetector
@@ -47,6 +48,12 @@
 from lagoonlatch.entry.slots import SlotClient
 from lagoonlatch.platform.endpoint import Endpoint
 from lagoonlatch.steering.allowances import Allowances
+from lagoonlatch.steering.crashes import (
+    MAX_REFUSAL_TIME,
+    MEMORY_TIME,
+    Crash,
+    CrashQuarantine,
+)
 from lagoonlatch.steering.holders import Holders
 from lagoonlatch.steering.knowledge import Knowledge
 from lagoonlatch.steering.lenders import Lenders
@@ -54,7 +61,6 @@
 from lagoonlatch.steering.neighbours import Neighbours
 from lagoonlatch.steering.peers import PeerStatus, PeerTable, RoundRobin
 from lagoonlatch.steering.watchers import Standing
-from lagoonlatch.upstreams.quarantine import Quarantine, SuspectReport
 
 HEARTBEAT_INTERVAL: Millis = 250.0
 """Interval between rounds of heartbeats. Several fit into the time after which a VM
@@ -162,7 +168,7 @@
         replica: StoreReplica,
         holders: Holders,
         allowances: Allowances,
-        quarantine: Quarantine,
+        quarantine: CrashQuarantine,
         slots: SlotClient,
         on_behind: Callable[[], None],
         on_large_answer: Callable[[str], None],
@@ -324,7 +330,14 @@
 
     @_handles("suspect")
     def _handle_suspect(self, suspect: Suspect, _origin: Origin) -> None:
-        self._quarantine.report(suspect.fingerprint, suspect.deaths, suspect.duration)
+        if suspect.cleared:
+            self._quarantine.clear(suspect.fingerprint)
+            return
+        now = self._clock.now()
+        crashes = [_decode_crash(crash, now) for crash in suspect.crashes or ()]
+        # A VM of an earlier build may count one crash several times.
+        unnamed = Crash(upstream="", born=0.0, sent_at=now, ended_at=now)
+        self._quarantine.add(suspect.fingerprint, crashes or [unnamed])
 
     @_handles("claim")
     def _handle_claim(self, claim: Claim, origin: Origin) -> None:
@@ -364,9 +377,28 @@
         left = Left(upstream.id, upstream.born, self._own_record.id)
         self._send_bytes_to(recipients, serialize(Datagram(left=left), _PROTOCOL))
 
-    def report_suspect(self, report: SuspectReport) -> None:
-        """Report to all other VMs a request that has ended an upstream."""
-        suspect = Suspect(report.fingerprint, report.deaths, report.duration)
+    def report_suspect(self, fingerprint: str) -> None:
+        """Report to all other VMs the crashes that a request may have caused.
+
+        Without any, the request is reported as no longer suspected.
+        """
+        now = self._clock.now()
+        crashes = self._quarantine.crashes(fingerprint)
+        suspect = Suspect(
+            fingerprint=fingerprint,
+            deaths=self._quarantine.count(fingerprint),
+            duration=self._quarantine.refused_for(fingerprint) or MAX_REFUSAL_TIME,
+            crashes=[
+                WireCrash(
+                    upstream=crash.upstream,
+                    born=crash.born,
+                    sent_age=now - crash.sent_at,
+                    ended_age=now - crash.ended_at,
+                )
+                for crash in crashes
+            ],
+            cleared=not crashes,
+        )
         data = serialize(Datagram(suspect=suspect), _PROTOCOL)
         self._send_bytes_to(self._neighbours.all(), data)
 
@@ -422,6 +454,15 @@
             emit(DatagramLost(peer=address[0], why=str(error)))
 
 
+def _decode_crash(crash: WireCrash, now: Millis) -> Crash:
+    return Crash(
+        upstream=crash.upstream,
+        born=crash.born,
+        sent_at=now - min(max(0.0, crash.sent_age), MEMORY_TIME),
+        ended_at=now - min(max(0.0, crash.ended_age), MEMORY_TIME),
+    )
+
+
 def _decode_tell(tell: Tell) -> PeerStatus:
     standing = Standing(tell.standing or 0)
     knowledge = Knowledge(
--- a/lagoonlatch/entry/process.py
+++ b/lagoonlatch/entry/process.py
@@ -65,6 +65,7 @@
 from lagoonlatch.steering.admission import Admission
 from lagoonlatch.steering.allowances import Allowances
 from lagoonlatch.steering.cold_start import ColdStartLimiter
+from lagoonlatch.steering.crashes import CrashQuarantine
 from lagoonlatch.steering.holders import Holders
 from lagoonlatch.steering.homes import SlotHomes
 from lagoonlatch.steering.lookup import Lookup
@@ -79,7 +80,6 @@
 from lagoonlatch.steering.slots import SlotAllocator
 from lagoonlatch.steering.upstreams import UpstreamTable
 from lagoonlatch.steering.watchers import Standing, should_watch, watch_timeout
-from lagoonlatch.upstreams.quarantine import Quarantine
 
 BACKLOG = 1_024
 
@@ -87,10 +87,6 @@
 """How long a leaving VM accepts requests, since callers may still use an older look-up.
 Afterwards it only finishes the requests that it has accepted."""
 
-DEATH_LIMIT = 3
-"""Number of upstreams that may die while running a request before it is refused. A
-harmless request may be running at two upstreams that die for another reason."""
-
 ANSWER_MEMORY_FRACTION = 0.25
 """Fraction of the VM's memory for answers that are read or not yet written. Answers may
 use twice as much for a short time, and the process itself needs the rest."""
@@ -222,7 +218,7 @@
         self._allowances = Allowances(
             self._holders.share, settings.is_first_start, clock
         )
-        quarantine = Quarantine(clock, death_limit=DEATH_LIMIT)
+        quarantine = CrashQuarantine(clock)
         self._slot_homes = SlotHomes(
             self._list_slot_homes, settings.region_by_data_centre, clock
         )
--- a/lagoonlatch/standins/entry_fleet.py
+++ b/lagoonlatch/standins/entry_fleet.py
@@ -324,19 +324,19 @@
 def _document(
     version: int, keys: tuple[str, ...], rate: float, timeout_s: float
 ) -> dict:
-    def route(name: str, prefix: str, kind: str) -> dict:
+    def route(name: str, kind: str, max_attempts: int = 2) -> dict:
         return {
             "resource_kind": "routes",
             "metadata": {"name": name},
             "spec": {
                 "host": HOST,
-                "path_prefix": prefix,
+                "path_prefix": f"/{name}/",
                 "kind": kind,
                 "timeout_s": timeout_s,
                 "goal_s": 0.5,
                 "priority": 1,
                 "service": "ledger",
-                "max_attempts": 2,
+                "max_attempts": max_attempts,
                 "public": False,
                 "sticky": True,
                 "home_regions": [],
@@ -359,8 +359,9 @@
         "spec": {"api_keys": list(keys), "rate_per_s": rate, "burst": rate},
     }
     resources = [
-        route("look", "/look/", "safe"),
-        route("book", "/book/", "unsafe"),
+        route("look", "safe"),
+        route("once", "safe", max_attempts=1),
+        route("book", "unsafe"),
         service,
         organisation,
     ]
--- a/lagoonlatch/standins/instance.py
+++ b/lagoonlatch/standins/instance.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 import gevent
+from gevent.pool import Pool
 from gevent.pywsgi import WSGIServer
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Millis
@@ -30,6 +31,8 @@
 
     Attributes
     ----------
+    work : Millis
+        How long a request takes.
     runs_by_request : Counter
         How often each request id has run.
     runs : list of tuple
@@ -55,6 +58,8 @@
         Requests a second that it says in all its answers that it takes.
     arrivals : list of tuple
         Instant and id of each request that was meant for it.
+    running : set of str
+        Ids of the requests that it is running.
     leaving_told, rest_told, limit_told : list of tuple
         Instant, id of the request, and for a rest how long, or which limit, of each
         answer with one.
@@ -78,15 +83,23 @@
         self.leaving_told: list[tuple[Millis, str]] = []
         self.rest_told: list[tuple[Millis, str, Millis]] = []
         self.limit_told: list[tuple[Millis, str, float]] = []
-        self._work = work
+        self.work = work
         self._slots = slots
-        self._running = 0
+        self.running: set[str] = set()
         self._sequence = 0
+        self._connections = Pool()
         self._server: WSGIServer | None = None
 
     def start(self, host: str = "127.0.0.1", port: int = 0) -> None:
         """Start listening, at any free port if `port` is 0."""
-        server = WSGIServer((host, port), self._respond, log=None, error_log=None)
+        self._connections = Pool()
+        server = WSGIServer(
+            (host, port),
+            self._respond,
+            log=None,
+            error_log=None,
+            spawn=self._connections,
+        )
         server.start()
         self._server = server
         self.address = f"{host}:{server.server_port}"
@@ -94,7 +107,21 @@
     def stop(self) -> None:
         """Stop listening; running requests end."""
         if self._server is not None:
-            self._server.stop(timeout=1.0)
+            self._server.close()
+
+    def crash(self) -> None:
+        """End at once, and with it all connections."""
+        if self._server is not None:
+            self._server.close()
+            self._connections.kill()
+            self._server = None
+        self.running.clear()
+
+    def start_again(self) -> None:
+        """Start a new run under the same id and address."""
+        self.born += 1
+        host, _, port = self.address.rpartition(":")
+        self.start(host, int(port))
 
     def entry(self, service: str, data_centre: str, state: str = "ready") -> dict:
         """Return what it writes to the store of itself."""
@@ -141,7 +168,7 @@
             headers += [("Not-Run", "1"), ("Retry-After", seconds)]
             start("503 Service Unavailable", headers)
             return [b""]
-        if self._running >= self._slots:
+        if len(self.running) >= self._slots:
             start("503 Service Unavailable", [*headers, ("Not-Run", "1")])
             return [b""]
         return self._run(request, environ, headers, start)
@@ -158,13 +185,13 @@
         self.organisations.add(environ.get("HTTP_TENANT", ""))
         self.seen_keys += "HTTP_AUTHORIZATION" in environ
         body = environ["wsgi.input"].read()
-        self._running += 1
+        self.running.add(request)
         try:
-            gevent.sleep(self._work / MILLIS_PER_SECOND)
+            gevent.sleep(self.work / MILLIS_PER_SECOND)
         finally:
-            self._running -= 1
+            self.running.discard(request)
         headers.append(("Server-Stamp", f"stamp-{self.id}-{request}"))
-        headers.append(("Server-Load", f"{self._running},0,{self._slots}"))
+        headers.append(("Server-Load", f"{len(self.running)},0,{self._slots}"))
         if self.failure_status and random.random() < self.failing_share:
             self.status_by_request[request] = self.failure_status
             start(f"{self.failure_status} Failed", headers)
--- a/tests/entry/test_attempts.py
+++ b/tests/entry/test_attempts.py
@@ -6,14 +6,21 @@
 
 from lagoonlatch.entry.attempts import GRANT_LIFETIME, AttemptRunner
 from lagoonlatch.entry.exchange import AnswerMemoryLimit
-from lagoonlatch.entry.messages import Answered, NotRun, UpstreamAnswer, UpstreamRequest
+from lagoonlatch.entry.messages import (
+    Answered,
+    FailureKind,
+    NotRun,
+    Unknown,
+    UpstreamAnswer,
+    UpstreamRequest,
+)
 from lagoonlatch.entry.metrics import EntryMetrics
 from lagoonlatch.entry.notices import UpstreamNotices
 from lagoonlatch.entry.pool import ConnectionPool
 from lagoonlatch.platform.headers import read_answer_fields
 from lagoonlatch.standins.manual_clock import ManualClock
 from lagoonlatch.steering.admission import Admission
-from lagoonlatch.upstreams.quarantine import Quarantine
+from lagoonlatch.steering.crashes import CrashQuarantine
 from tests.steering.samples import make_record, make_upstream_table
 
 REQUEST = UpstreamRequest(
@@ -31,6 +38,9 @@
 
     def exchange(self, request, _time_left):
         self._harness.sent.append(request)
+        if self._harness.answer == "reset":
+            self.is_reusable = False
+            return Unknown(FailureKind.RESET, "reset")
         status, fields = self._harness.answer
         answer = UpstreamAnswer(
             status=status,
@@ -71,8 +81,20 @@
 
 
 class FakeProber:
-    def suspect(self, upstream, _reason, _on_check_failed=None):
+    """Marks upstreams as suspect; their health checks fail at `fail_checks`."""
+
+    def __init__(self):
+        self.callbacks = []
+
+    def suspect(self, upstream, _reason, on_check_failed=None):
         upstream.is_suspect = True
+        if on_check_failed is not None:
+            self.callbacks.append(on_check_failed)
+
+    def fail_checks(self):
+        for on_check_failed in self.callbacks:
+            on_check_failed()
+        self.callbacks.clear()
 
 
 class AttemptHarness:
@@ -84,14 +106,16 @@
         self.sent = []
         self.reported = []
         self.limit_reports = []
+        self.prober = FakeProber()
+        self.quarantine = CrashQuarantine(self.clock)
         self.answer = (200, [])
         self.pool = ScriptedPool(self)
         self.attempts = AttemptRunner(
             self.upstream_table,
             self.pool,
-            FakeProber(),
+            self.prober,
             Admission(),
-            Quarantine(self.clock, death_limit=3),
+            self.quarantine,
             self.reported.append,
             UpstreamNotices(
                 self.upstream_table,
@@ -233,3 +257,39 @@
     harness.upstream.end_limit(harness.clock.now())
     harness.pool.drop("i-1")
     assert isinstance(harness.run(), Answered)
+
+
+def test_equal_requests_that_one_crash_ended_count_it_once(harness):
+    """A tenant whose requests are all equal must not be refused after one crash."""
+    harness.answer = "reset"
+    for _ in range(5):
+        harness.upstream.is_suspect = False
+        harness.run()
+    harness.prober.fail_checks()
+    assert harness.quarantine.count("f") == 1
+    assert harness.reported == ["f"]
+    assert harness.quarantine.admit("f") == 0.0
+
+
+def test_crash_of_the_next_run_is_another_crash(harness):
+    harness.answer = "reset"
+    for born in (1.0, 2.0):
+        record = replace(harness.upstream.record, born=born)
+        harness.upstream_table.put(record, was_running=True)
+        harness.upstream = harness.upstream_table.find("i-1")
+        harness.run()
+        harness.clock.advance(10.0)
+    harness.prober.fail_checks()
+    assert harness.quarantine.count("f") == 2
+
+
+def test_whole_answer_clears_the_suspicion_at_all_vms(harness):
+    harness.answer = "reset"
+    harness.run()
+    harness.prober.fail_checks()
+    harness.upstream.is_suspect = False
+    harness.answer = (200, [])
+    harness.run()
+    harness.run()
+    assert harness.quarantine.count("f") == 0
+    assert harness.reported == ["f", "f"]
--- a/tests/entry/test_handling.py
+++ b/tests/entry/test_handling.py
@@ -20,6 +20,7 @@
 from lagoonlatch.standins.manual_clock import ManualClock
 from lagoonlatch.steering.admission import Admission
 from lagoonlatch.steering.allowances import Allowances
+from lagoonlatch.steering.crashes import FIRST_REFUSAL_TIME, Crash, CrashQuarantine
 from lagoonlatch.steering.holders import Share
 from lagoonlatch.steering.homes import SlotHomes
 from lagoonlatch.steering.model import RouteKind, TrafficRules
@@ -28,7 +29,6 @@
 from lagoonlatch.steering.rate_limits import UpstreamRateLimiter
 from lagoonlatch.steering.retries import RetryBudget
 from lagoonlatch.steering.slots import SlotAllocator
-from lagoonlatch.upstreams.quarantine import Quarantine
 from tests.steering.samples import (
     make_organisation,
     make_record,
@@ -98,7 +98,7 @@
             lambda organisation: Share(1.0, True), True, self.clock
         )
         self.allowances.configure(self.facts.rules.organisations_by_id)
-        self.quarantine = Quarantine(self.clock, death_limit=3)
+        self.quarantine = CrashQuarantine(self.clock)
         placement = Placement(self.upstream_table, "north", ["north"], lambda _: True)
         self.limiter = UpstreamRateLimiter(lambda _: 1.0, self.clock)
         self.slots = SlotClient(
@@ -347,22 +347,47 @@
     assert retries <= 0.2 * 100 + 60
 
 
+def crash_in_turn(harness, *upstreams):
+    """Let upstreams crash in turn while they run the request."""
+    (fingerprint,) = harness.attempts.fingerprints
+    for upstream in upstreams:
+        sent_at = harness.clock.now()
+        harness.clock.advance(10.0)
+        crash = Crash(
+            upstream=upstream,
+            born=1.0,
+            sent_at=sent_at,
+            ended_at=harness.clock.now(),
+        )
+        harness.quarantine.add(fingerprint, [crash])
+
+
 def test_request_that_crashed_three_upstreams_is_quarantined():
     harness = HandlerHarness(
         *[RESET] * 4, Answered(make_answer()), kind=RouteKind.UNSAFE
     )
-    for _ in range(3):
+    for number in range(3):
         harness.send_request()
-        (name,) = harness.attempts.fingerprints
-        harness.quarantine.count_death(name)
+        crash_in_turn(harness, f"u{number}")
     answer = harness.send_request()
     assert answer.status == 503
     assert len(harness.tried_upstreams()) == 3
     assert harness.send_request(b"/a/other").status == 502
-    harness.clock.advance(float(dict(answer.headers)[b"Retry-After"]) * 1_000.0)
+    retry_after = float(dict(answer.headers)[b"Retry-After"])
+    assert retry_after == FIRST_REFUSAL_TIME / 1_000.0
+    harness.clock.advance(retry_after * 1_000.0)
     assert harness.send_request().status == 200
 
 
+def test_request_on_trial_is_not_retried_at_another_upstream():
+    harness = HandlerHarness(*[RESET] * 3, Answered(make_answer()), max_attempts=2)
+    harness.send_request()
+    crash_in_turn(harness, "u1", "u2", "u3")
+    harness.clock.advance(FIRST_REFUSAL_TIME)
+    assert harness.send_request().status == 502
+    assert len(harness.tried_upstreams()) == 3
+
+
 def test_slot_offered_to_a_disconnected_caller_is_released():
     harness = HandlerHarness()
     upstream = harness.upstream_table.find("u1")
--- a/tests/entry/test_peers.py
+++ b/tests/entry/test_peers.py
@@ -14,10 +14,10 @@
 from lagoonlatch.entry.peers import PeerLink
 from lagoonlatch.standins.manual_clock import ManualClock
 from lagoonlatch.steering.allowances import Allowances
+from lagoonlatch.steering.crashes import Crash, CrashQuarantine
 from lagoonlatch.steering.holders import Holders
 from lagoonlatch.steering.peers import PeerTable
 from lagoonlatch.steering.watchers import Standing
-from lagoonlatch.upstreams.quarantine import Quarantine
 from tests.entry.test_replica import Vm, added, batch, removed
 from tests.entry.test_slots import Network
 from tests.steering.samples import make_record
@@ -62,7 +62,7 @@
         replica or Vm().replica,
         holders,
         Allowances(holders.share, True, clock),
-        Quarantine(clock, death_limit=3),
+        CrashQuarantine(clock),
         Network().vm_by_id["vm-0"],
         lambda: None,
         lambda _peer: None,
@@ -89,6 +89,9 @@
     "a loan without tokens": wire.Datagram(loan=wire.Loan(number=1)),
     "a batch without changes": wire.Datagram(batch=wire.Batch(since=1, until=2, era=0)),
     "a suspect without deaths": wire.Datagram(suspect=wire.Suspect(fingerprint="f")),
+    "a crash without ages": wire.Datagram(
+        suspect=wire.Suspect("f", 1, 1.0, crashes=[wire.Crash(upstream="u1")])
+    ),
     "a claim without a count": wire.Datagram(claim=wire.Claim(vm="v", upstream="u1")),
     "counts of nothing": wire.Datagram(counts=wire.Counts(vm="v")),
     "room without an upstream": wire.Datagram(room=wire.Room()),
@@ -130,6 +133,69 @@
     assert events
 
 
+class CapturingNeighbours(NoNeighbours):
+    """One other VM, whose datagrams are kept instead of sent."""
+
+    def all(self):
+        return [make_vm("vm-1", "n-a")]
+
+
+def report_suspect(link, fingerprint):
+    """Return the bytes of the report that a VM sends."""
+    sent = []
+    link._send_bytes = lambda data, _address: sent.append(data)
+    link.report_suspect(fingerprint)
+    (data,) = sent
+    return data
+
+
+def add_crash(link, upstream, fingerprint="f"):
+    sent_at = link._clock.now()
+    link._clock.advance(10.0)
+    crash = Crash(
+        upstream=upstream, born=7.0, sent_at=sent_at, ended_at=link._clock.now()
+    )
+    link._quarantine.add(fingerprint, [crash])
+
+
+def test_reported_crash_counts_once_however_often_it_is_reported():
+    """Each VM that noticed a crash reports it."""
+    links = [make_link(CapturingNeighbours()) for _ in range(3)]
+    for link in links:
+        add_crash(link, "u1")
+    for link in links:
+        for other in links:
+            other.handle(report_suspect(link, "f"), SOURCE)
+    assert [link._quarantine.count("f") for link in links] == [1, 1, 1]
+
+
+def test_crashes_that_several_vms_report_add_up():
+    here, there = make_link(CapturingNeighbours()), make_link(CapturingNeighbours())
+    for number in range(3):
+        add_crash(there, f"u{number}")
+    here._clock.advance(5_000.0)
+    here.handle(report_suspect(there, "f"), SOURCE)
+    assert here._quarantine.refused_for("f") == there._quarantine.refused_for("f") > 0.0
+
+
+def test_report_of_a_whole_answer_clears_the_request():
+    here, there = make_link(CapturingNeighbours()), make_link(CapturingNeighbours())
+    add_crash(here, "u1")
+    there._quarantine.clear("f")
+    here.handle(report_suspect(there, "f"), SOURCE)
+    assert here._quarantine.count("f") == 0
+
+
+def test_reports_of_an_earlier_build_count_as_one_crash():
+    """An earlier build counts one crash once for each request that it ended."""
+    link = make_link()
+    for deaths in (1, 2, 3, 3):
+        report = wire.Suspect(fingerprint="f", deaths=deaths, duration=600_000.0)
+        link.handle(encode(wire.Datagram(suspect=report)), SOURCE)
+        link._clock.advance(10.0)
+    assert link._quarantine.count("f") == 1
+
+
 def test_each_kind_of_datagram_has_a_handler():
     fields = {spec[2] for spec in wire.Datagram.thrift_spec if spec is not None}
     assert set(peers._HANDLER_BY_KIND) | {"spread"} == fields
--- a/tests/soak/kinds.py
+++ b/tests/soak/kinds.py
@@ -23,6 +23,15 @@
 """Number of entries that upstreams write before the store is restored, so that its
 revision stays below the known one for a while."""
 
+RECENT: Millis = 1_000.0
+"""Requests that arrived within this time show where the next ones go."""
+
+LONG_WORK: Millis = 2_000.0
+"""Work of an upstream that is about to crash, so that it runs several requests."""
+
+EQUAL_RUNNING = 6
+"""Equal requests that an upstream runs when it crashes, if they come in time."""
+
 Play = Callable[[World, random.Random, Millis], None]
 MakeFault = Callable[[random.Random], Fault]
 
@@ -300,6 +309,28 @@
         instance.failure_status = None
 
 
+@kind
+def upstream_crashes(world: World, rng: random.Random, duration: Millis) -> None:
+    """Let the upstream that runs most equal requests crash while it runs some."""
+    since = now() - RECENT
+    name = max(
+        sorted(world.instances_by_id), key=lambda n: world.equal_arrivals(n, since)
+    )
+    if _is_busy(world, name):
+        return
+    instance = world.instances_by_id[name]
+    with _Disturbed(world, "upstream_crashes", name):
+        work, instance.work = instance.work, LONG_WORK
+        end = now() + LONG_WORK
+        while world.equal_running(instance) < EQUAL_RUNNING and now() < end:
+            _sleep(20.0)
+        instance.crash()
+        instance.work = work
+        _sleep(duration)
+        instance.start_again()
+        world.register(instance, world.data_centre_by_instance[name])
+
+
 @kind
 def upstream_names_limit(world: World, rng: random.Random, duration: Millis) -> None:
     """Let an upstream name a rate limit, change it, and take it back."""
--- a/tests/soak/planted.py
+++ b/tests/soak/planted.py
@@ -88,6 +88,35 @@
     RequestHandler._forward = keep_fields
 
 
+@plant
+def crash_counted_for_each_request() -> None:
+    """Count a crash once for each request that it ended; clear only at one VM."""
+    import itertools
+    from dataclasses import replace
+
+    from lagoonlatch.entry.peers import PeerLink
+    from lagoonlatch.steering.crashes import CrashQuarantine
+
+    report_suspect = PeerLink.report_suspect
+
+    def report_crashes(self, fingerprint):
+        if self._quarantine.crashes(fingerprint):
+            report_suspect(self, fingerprint)
+
+    PeerLink.report_suspect = report_crashes
+
+    add, numbers = CrashQuarantine.add, itertools.count()
+
+    def add_each(self, fingerprint, crashes):
+        each = [
+            replace(crash, born=next(numbers), sent_at=crash.ended_at)
+            for crash in crashes
+        ]
+        return add(self, fingerprint, each)
+
+    CrashQuarantine.add = add_each
+
+
 @plant
 def evacuation_ignored() -> None:
     """Go on sending to evacuated data centres."""
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -12,7 +12,7 @@
 from lagoonlatch.standins.entry_fleet import ask
 from tests.soak.kinds import KINDS_BY_NAME
 from tests.soak.oracle import DRAIN, find_problems
-from tests.soak.world import Caller, World, now
+from tests.soak.world import EQUAL_PATH, EQUAL_SHARE, Caller, World, now
 
 CALLERS_BY_VM = 4
 
@@ -45,6 +45,7 @@
     planted: str = "",
     kinds: tuple[str, ...] = (),
     without_store: tuple[str, ...] = (),
+    equal_share: float = EQUAL_SHARE,
 ) -> Verdict:
     """Play the run that `seed` names.
 
@@ -56,11 +57,14 @@
         Kinds of faults to choose from; empty for all.
     without_store : tuple of str
         VMs that can't reach the store in the whole run. Others tell them of changes.
+    equal_share : float
+        Share of the safe requests that are equal.
     """
     rng = random.Random(seed)
     names = sorted(kinds or KINDS_BY_NAME)
     played: list[str] = []
     with World(vms, instances, planted) as world:
+        world.equal_share = equal_share
         for vm in without_store:
             world.cut_from_store(vm)
         end = now() + duration
@@ -143,7 +147,14 @@
     found = []
     for vm in world.vms_by_id.values():
         fields = {"Authorization": f"Token {key}"}
-        statuses = [ask(vm, f"end-{vm.id}-{n}", **fields) for n in range(5)]
+        statuses = [
+            ask(vm, f"end-{vm.id}-{n}", path=path, **fields)
+            for path in ("/look/1", EQUAL_PATH)
+            for n in range(5)
+        ]
         if not set(statuses) <= {200, 429}:
-            found.append(f"{vm.id} answers {statuses} after the last fault")
+            found.append(
+                f"{vm.id} answers {statuses} after the last fault, the last ones to"
+                f" {EQUAL_PATH}"
+            )
     return found
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -3,6 +3,7 @@
 import pytest
 
 from tests.soak.run import play
+from tests.soak.world import EQUAL_PATH
 
 SEEDS = {
     1: "overlapping changes of the store's entries",
@@ -56,6 +57,19 @@
     assert not verdict.problems
 
 
+def test_a_crash_that_is_counted_for_each_request_is_found():
+    planted = "crash_counted_for_each_request"
+    verdict = play(
+        7, 8_000.0, planted=planted, kinds=("upstream_crashes",), equal_share=1.0
+    )
+    assert any(EQUAL_PATH in problem for problem in verdict.problems)
+
+
+def test_equal_requests_are_served_after_crashes():
+    verdict = play(7, 8_000.0, kinds=("upstream_crashes",), equal_share=1.0)
+    assert not verdict.problems
+
+
 RESTORE_KINDS = ("store_restored", "keys_change", "upstream_leaves")
 RESTORE_PLANTS = ("era_ignored", "era_heeded_by_watchers_only")
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -27,6 +27,14 @@
 PAUSE: Millis = 40.0
 """Between two requests of a caller, on average."""
 
+EQUAL_SHARE = 0.4
+"""Default share of the safe requests that ask for the same thing as others."""
+
+EQUAL_PATH = "/once/shared"
+"""On a route without retries, whose answers would show that the requests are sound."""
+
+EQUAL_AFFINITY = 100
+
 GHOST_LIFETIME: Millis = 3_000.0
 """After this the platform removes an entry that its upstream doesn't renew."""
 
@@ -46,12 +54,20 @@
     vm: str
     key: str
     is_unsafe: bool
+    is_equal: bool
     sent: Millis
     ended: Millis = 0.0
     status: int = 0
     has_stamp: bool = False
     problem: str = ""
 
+    @property
+    def path(self) -> str:
+        """The requested path; the upstream answers with it or with the body."""
+        if self.is_equal:
+            return EQUAL_PATH
+        return f"/book/{self.id}" if self.is_unsafe else f"/look/{self.id}"
+
 
 @dataclass(frozen=True)
 class Span:
@@ -92,6 +108,7 @@
             self.command = [sys.executable, "-m", "tests.soak.planted", planted]
         self.proxy = FaultProxy()
         self.history = History()
+        self.equal_share = EQUAL_SHARE
         self.data_centre_by_instance: dict[str, str] = {}
         self._addresses: dict[str, str] = {}
 
@@ -142,6 +159,19 @@
         elif value is not None:
             self.store.put(key, value)
 
+    def equal_arrivals(self, instance: str, since: Millis) -> int:
+        """Return how many equal requests have arrived at an upstream."""
+        equal = self._equal_requests()
+        arrivals = self.instances_by_id[instance].arrivals
+        return sum(at >= since and request in equal for at, request in arrivals)
+
+    def equal_running(self, instance: InstanceStandin) -> int:
+        """Return how many equal requests an upstream is running."""
+        return len(instance.running & self._equal_requests())
+
+    def _equal_requests(self) -> set[str]:
+        return {asked.id for asked in self.history.asked if asked.is_equal}
+
     def name_limit(self, instance: InstanceStandin, rate: float | None) -> None:
         """Let an upstream name a rate limit in its answers, or none."""
         self.history.limits.append((now(), instance.id, rate))
@@ -229,22 +259,25 @@
 
     def _next(self) -> Asked:
         self._count += 1
+        is_unsafe = self._rng.random() < 0.4
         return Asked(
             id=f"{self._vm}.{self._number}.{self._count}",
             vm=self._vm,
             key=self._rng.choice([key for _, key in self._world.history.keys[-2:]]),
-            is_unsafe=self._rng.random() < 0.4,
+            is_unsafe=is_unsafe,
+            is_equal=not is_unsafe and self._rng.random() < self._world.equal_share,
             sent=now(),
         )
 
     def _encode(self, asked: Asked) -> bytes:
-        method, path = ("POST", "/book/") if asked.is_unsafe else ("GET", "/look/")
+        method = "POST" if asked.is_unsafe else "GET"
         body = asked.id.encode() if asked.is_unsafe else b""
+        affinity = EQUAL_AFFINITY if asked.is_equal else self._rng.randrange(30)
         return (
-            f"{method} {path}{asked.id} HTTP/1.1\r\nHost: {HOST}\r\n"
+            f"{method} {asked.path} HTTP/1.1\r\nHost: {HOST}\r\n"
             f"Request-Id: {asked.id}\r\nDeadline-Ms: {int(DEADLINE)}\r\n"
             f"Authorization: Token {asked.key}\r\n"
-            f"Cookie: Affinity-Key={self._rng.randrange(30)}\r\n"
+            f"Cookie: Affinity-Key={affinity}\r\n"
             f"Content-Length: {len(body)}\r\n\r\n"
         ).encode() + body
 
@@ -255,8 +288,8 @@
         body = self._read_bytes(length)
         asked.has_stamp = "server-stamp" in headers
         if asked.status == 200:
-            path = asked.id if asked.is_unsafe else f"/look/{asked.id}"
-            if body != path.encode() or headers.get("request-id") != asked.id:
+            expected = asked.id if asked.is_unsafe else asked.path
+            if body != expected.encode() or headers.get("request-id") != asked.id:
                 asked.problem = f"another answer: {headers} {body[:80]!r}"
             elif "server-stamp" not in headers:
                 asked.problem = "success without the upstream's stamp"
