Share a cold upstream's rate with VMs whose entries are missing after an outage

A cold instance crashes under more.

Cause: `ColdStartLimiter` chose the senders among the VMs with an entry. The first reading after the outage has none, until the VMs write theirs again up to 1.75 s later. Each VM then saw itself alone, and used half of the rate instead of its share of an eighth.

Change: VMs that send heartbeats count as present without an entry, as for slots and the directory. For 2.3 s after an outage, and after a VM's first reading, all VMs of the roster count too, which has no lease; so a VM that starts in an outage and has heard of no other takes no more than its share. VMs of the roster that are gone may take a place meanwhile, so that fewer VMs send for that time.

--- a/lagoonlatch/entry/facts.py
+++ b/lagoonlatch/entry/facts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, replace
 
@@ -128,6 +129,7 @@
         self._upstream_gone_listeners: list[Callable[[str], None]] = []
         self._era = 0
         self._has_snapshot = False
+        self._first_snapshot_at: Millis = math.inf
         self._roster_has_changed = False
         self._entry_by_key: dict[str, Entry] = {}
         self._hold_until: Millis = 0.0
@@ -189,6 +191,16 @@
         """Return how long upstreams whose entries are gone are still held."""
         return max(self._hold_until - self._clock.now(), 0.0)
 
+    def may_miss_vms(self) -> bool:
+        """Return whether VMs may be present that have no entry.
+
+        VMs whose entries lapsed during an outage write them again within the same time
+        as upstreams. A VM that starts may read the store just after an outage that it
+        hasn't noticed.
+        """
+        is_new = self._clock.now() - self._first_snapshot_at < HOLD_TIME
+        return is_new or self.hold_left() > 0.0
+
     def apply_snapshot(self, entries: Sequence[Entry], era: int = 0) -> None:
         """Replace all facts by `entries` of the store in its era `era`."""
         self._era = era
@@ -204,6 +216,7 @@
                 self._apply_new_entry(entry)
         if not self._has_snapshot:
             self._has_snapshot = True
+            self._first_snapshot_at = self._clock.now()
             emit(FactsRead(upstreams=len(self.fleet.ids()), vms=len(self.vms_by_id)))
         self._notify_listeners()
 
--- a/lagoonlatch/entry/process.py
+++ b/lagoonlatch/entry/process.py
@@ -212,7 +212,11 @@
             clock,
         )
         self._cold_start_limiter = ColdStartLimiter(
-            settings.vm, lambda: self._facts.vms_by_id, clock
+            settings.vm,
+            lambda: [vm.id for vm in self._neighbours.all()],
+            lambda: self._facts.roster,
+            self._facts.may_miss_vms,
+            clock,
         )
         self._holders = Holders(settings.vm, settings.region)
         self._allowances = Allowances(
--- a/lagoonlatch/standins/entry_fleet.py
+++ b/lagoonlatch/standins/entry_fleet.py
@@ -65,6 +65,13 @@
         Upstream instances, over the data centres in turn.
     output : int or file
         Where the VMs write their log lines.
+
+    Attributes
+    ----------
+    cold_start : Millis
+        How long an upstream is cold, as the configuration says.
+    cold_rate : float
+        Requests a second that a cold upstream takes from all VMs together.
     """
 
     def __init__(
@@ -76,6 +83,8 @@
         self.store = KvStoreStandin()
         self.instances_by_id: dict[str, InstanceStandin] = {}
         self.vms_by_id: dict[str, EntryVm] = {}
+        self.cold_start: Millis = 200.0
+        self.cold_rate = 50.0
         self._output = output
         self._vm_count = vms
         self._instance_count = instances
@@ -145,9 +154,10 @@
     ) -> int:
         """Write the next configuration and return its version."""
         self._version += 1
-        self.store.put(
-            CONFIGURATION_KEY, _document(self._version, keys, rate, timeout_s)
+        document = _document(
+            self._version, keys, rate, timeout_s, self.cold_start, self.cold_rate
         )
+        self.store.put(CONFIGURATION_KEY, document)
         return self._version
 
     def start_vm(self, vm: str, data_centre: str, first: bool = True) -> EntryVm:
@@ -322,7 +332,12 @@
 
 
 def _document(
-    version: int, keys: tuple[str, ...], rate: float, timeout_s: float
+    version: int,
+    keys: tuple[str, ...],
+    rate: float,
+    timeout_s: float,
+    cold_start: Millis,
+    cold_rate: float,
 ) -> dict:
     def route(name: str, kind: str, max_attempts: int = 2) -> dict:
         return {
@@ -349,8 +364,8 @@
         "spec": {
             "health_path": HEALTH_PATH,
             "max_conns": 100,
-            "cold_start_s": 0.2,
-            "cold_per_s": 50.0,
+            "cold_start_s": cold_start / MILLIS_PER_SECOND,
+            "cold_per_s": cold_rate,
         },
     }
     organisation = {
--- a/lagoonlatch/standins/instance.py
+++ b/lagoonlatch/standins/instance.py
@@ -43,6 +43,8 @@
         Requests that came with a key, which must not happen.
     born : int
         Names its run; to be raised when it starts again under its id.
+    cold_spans : list of tuple
+        Start and end of each time in which it is cold.
     is_leaving : bool
         Whether it says in all its answers that it leaves.
     rest : Millis or None
@@ -73,6 +75,7 @@
         self.organisations: set[str] = set()
         self.seen_keys = 0
         self.born = 1
+        self.cold_spans: list[tuple[Millis, Millis]] = []
         self.is_leaving = False
         self.rest: Millis | None = None
         self.failure_status: int | None = None
@@ -117,9 +120,10 @@
             self._server = None
         self.running.clear()
 
-    def start_again(self) -> None:
-        """Start a new run under the same id and address."""
+    def start_again(self, cold: Millis = 0.0) -> None:
+        """Start a new run under the same id and address, cold for a while."""
         self.born += 1
+        self.cold_spans.append((_now(), _now() + cold))
         host, _, port = self.address.rpartition(":")
         self.start(host, int(port))
 
@@ -132,11 +136,15 @@
             "version": "v1",
             "slots": self._slots,
             "state": state,
-            "cold_left_s": 0,
+            "cold_left_s": round(self.cold_left() / MILLIS_PER_SECOND, 3),
             "seq": self._next_sequence(),
             "born": self.born,
         }
 
+    def cold_left(self) -> Millis:
+        """Return how long it stays cold."""
+        return max([end - _now() for _, end in self.cold_spans[-1:]] + [0.0])
+
     def _next_sequence(self) -> int:
         self._sequence += 1
         return self._sequence
@@ -150,6 +158,7 @@
         if self.rate_limit is not None:
             headers.append(("Server-Limit", f"{self.rate_limit:g}"))
         if environ["PATH_INFO"] == HEALTH_PATH:
+            headers.append(("Cold-Ms", str(round(self.cold_left()))))
             start("503 Leaving" if self.is_leaving else "200 OK", headers)
             return [b"ok"]
         request = environ.get("HTTP_REQUEST_ID", "")
--- a/lagoonlatch/standins/kv_store.py
+++ b/lagoonlatch/standins/kv_store.py
@@ -184,6 +184,11 @@
         for lease_id in [i for i, le in self._leases_by_id.items() if le.ends <= now]:
             self._end_lease(lease_id)
 
+    def end_all_leases(self) -> None:
+        """End all leases with their entries, as they may end in an outage."""
+        for lease_id in list(self._leases_by_id):
+            self._end_lease(lease_id)
+
     def _end_lease(self, lease_id: int) -> None:
         for key in self._leases_by_id.pop(lease_id).keys:
             item = self._items_by_key.get(key)
--- a/lagoonlatch/steering/cold_start.py
+++ b/lagoonlatch/steering/cold_start.py
@@ -3,6 +3,11 @@
 A cold upstream can handle few requests a second from all VMs together and crashes
 under more. All VMs choose the same few senders by rendezvous hashing. Each sender uses
 an equal part of that rate, and the other VMs send nothing.
+
+The choice needs all VMs that may send. After an outage of the store the entries of VMs
+may be missing though the VMs run, and a VM that has just started hears of the others
+only by and by. At such times VMs of the roster count, which has no lease. Some of them
+may be gone, so that fewer VMs send for a short time.
 """
 
 from __future__ import annotations
@@ -29,15 +34,26 @@
     ----------
     own_id : str
         Id of this VM.
-    list_vms : callable
-        Returns the ids of the VMs with a live entry.
+    list_present : callable
+        Returns the ids of the VMs that have an entry or send heartbeats.
+    list_roster : callable
+        Returns the ids of all VMs that have ever registered.
+    may_miss_vms : callable
+        Returns whether VMs may be present of which this VM doesn't know it.
     """
 
     def __init__(
-        self, own_id: str, list_vms: Callable[[], Iterable[str]], clock: Clock
+        self,
+        own_id: str,
+        list_present: Callable[[], Iterable[str]],
+        list_roster: Callable[[], Iterable[str]],
+        may_miss_vms: Callable[[], bool],
+        clock: Clock,
     ) -> None:
         self._own_id = own_id
-        self._list_vms = list_vms
+        self._list_present = list_present
+        self._list_roster = list_roster
+        self._may_miss_vms = may_miss_vms
         self._clock = clock
         self._services_by_id: Mapping[str, Service] = {}
         self._next_request_at_by_upstream: dict[str, Millis] = {}
@@ -55,7 +71,7 @@
             return False
         if now < self._next_request_at_by_upstream.get(upstream_id, now):
             return False
-        senders = ranked(upstream_id, {*self._list_vms(), self._own_id})[:MAX_SENDERS]
+        senders = ranked(upstream_id, self._candidates())[:MAX_SENDERS]
         if self._own_id not in senders:
             return False
         rate = service.cold_rate * USED_FRACTION / len(senders)
@@ -65,6 +81,12 @@
             self._prune(now)
         return True
 
+    def _candidates(self) -> set[str]:
+        candidates = {*self._list_present(), self._own_id}
+        if self._may_miss_vms():
+            candidates.update(self._list_roster())
+        return candidates
+
     def _prune(self, now: Millis) -> None:
         self._next_request_at_by_upstream = {
             upstream_id: instant
--- a/tests/entry/test_facts.py
+++ b/tests/entry/test_facts.py
@@ -169,3 +169,17 @@
     assert roster_sizes == [195]
     facts.apply_snapshot(entries)
     assert roster_sizes == [195]
+
+
+def test_vms_may_be_missing_from_the_first_snapshot_and_after_an_outage(clock):
+    """FAILBACK: VMs whose entries had lapsed in an outage counted as gone at once."""
+    facts = Facts(make_upstream_table(clock), clock)
+    assert facts.may_miss_vms()
+    facts.apply_snapshot([])
+    assert facts.may_miss_vms()
+    clock.advance(HOLD_TIME)
+    assert not facts.may_miss_vms()
+    facts.hold_missing_upstreams()
+    assert facts.may_miss_vms()
+    clock.advance(HOLD_TIME)
+    assert not facts.may_miss_vms()
--- a/tests/soak/kinds.py
+++ b/tests/soak/kinds.py
@@ -19,6 +19,9 @@
 START: Millis = 2_500.0
 """A VM that starts is not yet in touch; others of the machine start beside it."""
 
+COLD_TIME: Millis = 3_000.0
+"""How long an upstream is cold that comes back in an outage."""
+
 LOST_WRITES = 40
 """Number of entries that upstreams write before the store is restored, so that its
 revision stays below the known one for a while."""
@@ -201,6 +204,26 @@
         world.store.forget_history()
 
 
+@kind
+def store_lapses(world: World, rng: random.Random, _duration: Millis) -> None:
+    """Let all leases end in an outage; an upstream comes back cold at its end."""
+    name = _any_instance(world, rng)
+    if _is_busy(world, name):
+        return
+    instance = world.instances_by_id[name]
+    with _Disturbed(world, "store_lapses", name, *world.vms_by_id):
+        world.store.refuse_with = 503
+        _sleep(1_500.0)
+        instance.crash()
+        _sleep(1_000.0)
+        instance.start_again(COLD_TIME)
+        _sleep(1_000.0)
+        world.store.end_all_leases()
+        world.store.refuse_with = None
+        world.register(instance, world.data_centre_by_instance[name])
+        _sleep(COLD_TIME)
+
+
 @kind
 def store_restored(world: World, rng: random.Random, duration: Millis) -> None:
     """Let the store go away and come back from a copy; then all is written again."""
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -41,6 +41,11 @@
 LIMIT_SLACK = 5.0
 """Requests in a window: limit x window x excess + slack, as the rules have it."""
 
+COLD_WINDOW: Millis = 1_000.0
+COLD_EXCESS = 1.5
+COLD_SLACK = 5.0
+"""Requests in a window: cold rate x excess + slack, as the rules have it."""
+
 CROSSING: Millis = 200.0
 """A request that is not passed on may meet the close of its connection this late."""
 
@@ -79,6 +84,7 @@
     yield from _rest_problems(world)
     yield from _quota_problems(world)
     yield from _limit_problems(world)
+    yield from _cold_problems(world)
 
 
 def _upstream_statuses(world: World, asked: Asked) -> set[int]:
@@ -238,6 +244,23 @@
                 break
 
 
+def _cold_problems(world: World) -> Iterator[str]:
+    """Check the requests to cold upstreams, over all VMs, in touch or not."""
+    allowed = world.cold_rate * COLD_EXCESS + COLD_SLACK
+    for instance in world.instances_by_id.values():
+        for cold_from, cold_until in instance.cold_spans:
+            times = [at for at, _ in instance.arrivals if cold_from <= at < cold_until]
+            counts = [
+                _count_until(times, index, start + COLD_WINDOW)
+                for index, start in enumerate(times)
+            ]
+            if max(counts, default=0) > allowed:
+                yield (
+                    f"{instance.id} got {max(counts)} requests in a second while it"
+                    f" was cold; allowed {allowed:g}"
+                )
+
+
 def _highest_limit(
     changes: list[tuple[Millis, float | None]], start: Millis
 ) -> float | None:
--- a/tests/soak/planted.py
+++ b/tests/soak/planted.py
@@ -117,6 +117,22 @@
     CrashQuarantine.add = add_each
 
 
+@plant
+def cold_senders_by_entry() -> None:
+    """Take the VMs with an entry for the only senders to a cold upstream."""
+    from lagoonlatch.entry.process import EntryProcess
+
+    create_components = EntryProcess._create_components
+
+    def create(self):
+        create_components(self)
+        limiter = self._cold_start_limiter
+        limiter._list_present = lambda: self._facts.vms_by_id
+        limiter._may_miss_vms = lambda: False
+
+    EntryProcess._create_components = create
+
+
 @plant
 def evacuation_ignored() -> None:
     """Go on sending to evacuated data centres."""
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -46,6 +46,7 @@
     kinds: tuple[str, ...] = (),
     without_store: tuple[str, ...] = (),
     equal_share: float = EQUAL_SHARE,
+    cold_rate: float | None = None,
 ) -> Verdict:
     """Play the run that `seed` names.
 
@@ -59,12 +60,16 @@
         VMs that can't reach the store in the whole run. Others tell them of changes.
     equal_share : float
         Share of the safe requests that are equal.
+    cold_rate : float, optional
+        Requests a second that a cold upstream takes from all VMs together.
     """
     rng = random.Random(seed)
     names = sorted(kinds or KINDS_BY_NAME)
     played: list[str] = []
-    with World(vms, instances, planted) as world:
-        world.equal_share = equal_share
+    world = World(vms, instances, planted)
+    world.equal_share = equal_share
+    world.cold_rate = cold_rate or world.cold_rate
+    with world:
         for vm in without_store:
             world.cut_from_store(vm)
         end = now() + duration
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -70,6 +70,20 @@
     assert not verdict.problems
 
 
+LAPSE = {"vms": 10, "instances": 3, "kinds": ("store_lapses",), "cold_rate": 8.0}
+
+
+def test_vms_that_ignore_others_without_an_entry_are_found():
+    """After an outage in which leases ended, no VM has an entry for a while."""
+    verdict = play(7, 8_000.0, planted="cold_senders_by_entry", **LAPSE)
+    assert any("was cold" in problem for problem in verdict.problems)
+
+
+def test_cold_upstream_is_not_flooded_after_an_outage():
+    verdict = play(7, 8_000.0, **LAPSE)
+    assert not verdict.problems
+
+
 RESTORE_KINDS = ("store_restored", "keys_change", "upstream_leaves")
 RESTORE_PLANTS = ("era_ignored", "era_heeded_by_watchers_only")
 
