Limit the size of the store's answers, and let other tasks run while reading

Related to the report of bytes without end: a faulty store, or another process at its address, could send bytes without end to a VM.

Cause: the client reads an answer of the store without a limit, and its deadline can't end a read that never waits.

Change: a head may have 64 KiB and an answer 16 MiB, and each read lets other tasks run. The store's largest answers have some 1 MB.

--- a/lagoonlatch/platform/connections.py
+++ b/lagoonlatch/platform/connections.py
@@ -25,8 +25,14 @@
 """A store that acknowledges nothing for so long is out of reach; a waiting watch would
 otherwise not notice before its wait ends."""
 
+MAX_HEAD_BYTES = 64 * 1024
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+"""Limits of the head and of a whole answer, which is kept in memory."""
+
 JSON_HEADERS = {"Content-Type": "application/json"}
 
+_HEAD_END = b"\r\n\r\n"
+
 
 @dataclass(frozen=True)
 class Answer:
@@ -59,6 +65,36 @@
     sent: bool
 
 
+class _LimitedSocket(socket):
+    """A socket on which an answer without end fails and doesn't block other tasks."""
+
+    def begin_answer(self) -> None:
+        """Count the bytes of the next answer."""
+        self._received = 0
+        self._head_tail: bytes | None = b""
+
+    def recv(self, *args: int) -> bytes:
+        """Receive bytes of an answer.
+
+        Raises
+        ------
+        OSError
+            If the head or the answer is too large.
+        """
+        data = super().recv(*args)
+        # Data may arrive faster than they are read, so that receiving never waits.
+        gevent.sleep(0)
+        self._received += len(data)
+        if self._head_tail is not None:
+            searched = self._head_tail + data
+            self._head_tail = None if _HEAD_END in searched else searched[-3:]
+        limit = MAX_ANSWER_BYTES if self._head_tail is None else MAX_HEAD_BYTES
+        if self._received > limit:
+            part = "answer" if self._head_tail is None else "head"
+            raise OSError(f"{part} of over {limit} bytes")
+        return data
+
+
 class TrackedPool(ConnectionPool):
     """A connection pool that knows which socket each greenlet took.
 
@@ -105,6 +141,9 @@
         while not self._socket_queue.empty():
             self._socket_queue.get(block=False).close()
 
+    def _create_tcp_socket(self, family: int, kind: int, protocol: int) -> socket:
+        return _LimitedSocket(family, kind, protocol)
+
     def _connect_socket(self, sock: socket, address: tuple) -> socket:
         if self._source:
             sock.bind((self._source, 0))
@@ -117,6 +156,7 @@
     def get_socket(self) -> socket:
         """Take a socket for the greenlet's call."""
         taken = super().get_socket()
+        taken.begin_answer()
         self._in_use.add(taken)
         self._taken.socket = taken
         self._taken.sent = True
