--- a/tests/properties/test_decoder_fuzz.py
+++ b/tests/properties/test_decoder_fuzz.py
@@ -120,6 +120,8 @@
         return rng.random() < 0.5
     if kind == kinds.DOUBLE:
         return rng.choice([0.0, -1.0, 1e308, float("inf"), float("nan")])
+    if kind == kinds.LIST and spec[3][1][0] is wire.Crash:
+        return [draw_crash(rng, key, value) for _ in range(rng.randrange(12))]
     if kind == kinds.LIST:
         return [wire.Change(key, value[:2_000], rng.choice(INTEGERS))]
     if kind == kinds.MAP:
@@ -129,6 +131,15 @@
     return rng.choice(INTEGERS[:4] if kind == kinds.I32 else INTEGERS)
 
 
+def draw_crash(rng, key, value):
+    """Return a crash, most of whose fields have odd values."""
+    crash = wire.Crash()
+    for spec in crash.thrift_spec:
+        if spec is not None and rng.random() < 0.9:
+            setattr(crash, spec[2], draw_field(rng, spec, key, value))
+    return crash
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_no_datagram_raises_an_error(seed, monkeypatch):
     """An error that leaves `handle` would end the VM."""
@@ -148,6 +159,9 @@
         link.list_addresses()
         link.list_addresses_ahead(Knowledge())
         link._peer_table.standing_by_vm()
+        for fingerprint in ("", "i-1"):
+            assert link._quarantine.admit(fingerprint) >= 0.0
+            link.report_suspect(fingerprint)
         link._replica.settle()
     unreadable = [e for e in events if isinstance(e, DatagramUnreadable)]
     assert 0 < len(unreadable) < DATAGRAMS
