--- a/tests/entry/test_restore_fleet.py
+++ b/tests/entry/test_restore_fleet.py
@@ -1,7 +1,7 @@
 """A fleet in virtual time whose store is restored from a copy."""
 
 import pytest
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from lagoonlatch.entry import propagation
@@ -190,7 +190,24 @@
 )
 
 
+VM_LEFT_BEHIND = [
+    ("register", 2),
+    ("wait", 7),
+    ("register", 2),
+    ("restart", 8),
+    ("cut", 4),
+    ("cut", 1),
+    ("wait", 6),
+    ("leave", 1),
+    ("leave", 6),
+    ("cut", 7),
+    ("restore", 3),
+    ("register", 2),
+]
+
+
 @settings(max_examples=30, deadline=None, print_blob=True)
+@example(actions=VM_LEFT_BEHIND, seed=24137)
 @given(actions=ACTIONS, seed=st.integers(0, 2**16))
 def test_vms_follow_the_last_era_and_no_configuration_goes_back(actions, seed):
     play_restores(10, actions, seed)
