Give each VM of a test fleet a listener of the store

`test_vm_refused_before_its_registration_gets_changes_from_other_vms` failed in 3 of 3 runs while many other tests ran: a VM wasn't ready within 20 s.

Cause: the test found out which VM calls the store by searching the sockets of all processes, once for each call, in the process that also serves the store. One search took 23 ms with 131 sockets in the machine's table, 78 ms with 5,131 and 207 ms with 14,274, most of them closed connections of other tests; with 309 processes, 78 ms. The calls of all VMs waited behind it.

Ruled out: more calls to the store.

Change: the store has a listener for each VM, so that the caller is known without a search. psutil is no longer needed.

--- a/lagoonlatch/standins/entry_fleet.py
+++ b/lagoonlatch/standins/entry_fleet.py
@@ -18,6 +18,7 @@
 import gevent
 import msgspec
 from gevent import socket
+from gevent.pywsgi import WSGIServer
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Millis
 from lagoonlatch.platform.operator_keys import CONFIGURATION_KEY
@@ -72,6 +73,8 @@
         How long an upstream is cold, as the configuration says.
     cold_rate : float
         Requests a second that a cold upstream takes from all VMs together.
+    store_servers_by_vm : dict of str to WSGIServer
+        The store's listener for each VM.
     """
 
     def __init__(
@@ -83,6 +86,7 @@
         self.store = KvStoreStandin()
         self.instances_by_id: dict[str, InstanceStandin] = {}
         self.vms_by_id: dict[str, EntryVm] = {}
+        self.store_servers_by_vm: dict[str, WSGIServer] = {}
         self.cold_start: Millis = 200.0
         self.cold_rate = 50.0
         self._output = output
@@ -104,7 +108,6 @@
         return self
 
     def _start(self) -> None:
-        self._server = self.store.serve()
         centres = list(REGION_BY_DATA_CENTRE)
         for number in range(self._instance_count):
             self.add_instance(f"i-{number}", centres[number % len(centres)])
@@ -121,7 +124,8 @@
             vm.process.wait()
         for instance in self.instances_by_id.values():
             instance.stop()
-        self._server.stop(timeout=1.0)
+        for server in self.store_servers_by_vm.values():
+            server.stop(timeout=1.0)
         self._ports.release()
         self._folder.cleanup()
 
@@ -146,8 +150,10 @@
         return instance.address
 
     def store_address(self, vm: str) -> str:
-        """Return where a VM connects to the store."""
-        return f"127.0.0.1:{self._server.server_port}"
+        """Return the address of the store's listener for a VM."""
+        if vm not in self.store_servers_by_vm:
+            self.store_servers_by_vm[vm] = self.store.serve()
+        return f"127.0.0.1:{self.store_servers_by_vm[vm].server_port}"
 
     def configure(
         self, keys: tuple[str, ...] = (KEY,), rate: float = 0.0, timeout_s: float = 3.0
--- a/tests/entry/test_process.py
+++ b/tests/entry/test_process.py
@@ -353,14 +353,13 @@
 
     def refuse_or_respond(environ, start):
         path = environ["PATH_INFO"]
-        owner_id = _owner_id(int(environ["REMOTE_PORT"]))
-        if owner_id == vm.process.pid and is_refused(path):
+        if is_refused(path):
             refused.append(path)
             start("503 Busy", [("Content-Length", "2")])
             return [b"{}"]
         return respond(environ, start)
 
-    fleet._server.application = refuse_or_respond
+    fleet.store_servers_by_vm[vm.id].application = refuse_or_respond
     return refused
 
 
@@ -372,18 +371,6 @@
     return not {"/kv-watch", "/kv-range"}.isdisjoint(refused)
 
 
-def _owner_id(port):
-    """Return the id of the process that owns a local TCP port."""
-    import psutil
-
-    owner_ids = (
-        connection.pid
-        for connection in psutil.net_connections("tcp")
-        if connection.pid and connection.laddr.port == port
-    )
-    return next(owner_ids, None)
-
-
 def test_idle_vm_wakes_only_for_timers_and_received_messages(fleet):
     """Count the voluntary context switches of a VM instead of its processor time."""
     vms = list(fleet.vms_by_id.values())
