--- a/lagoonlatch/upstreams/quarantine.py
+++ b/lagoonlatch/upstreams/quarantine.py
@@ -1,9 +1,9 @@
 """Requests that end the processes of the upstreams that run them.
 
-A request is named by its fingerprint. Each abrupt end of an upstream counts one death
-for every fingerprint that it was running; at the limit the fingerprint is refused for
-a while. A whole answer clears what was counted, since a request that ends upstreams
-never gets one.
+A request is named by its fingerprint. An abrupt end of an upstream counts one death for
+every fingerprint that it was running, however many equal requests it ran; upstreams
+that end together count once. At the limit the fingerprint is refused for a while. A
+whole answer clears what was counted, since no request that ends upstreams gets one.
 """
 
 from __future__ import annotations
@@ -40,6 +40,7 @@
 class _Suspicion:
     deaths: int
     until: Millis
+    last_death_at: Millis
 
 
 class Quarantine:
@@ -56,29 +57,38 @@
         clock: Clock,
         duration: Millis = DEFAULT_QUARANTINE,
         capacity: int = DEFAULT_CAPACITY,
-        death_limit: int = DEATH_LIMIT,
     ) -> None:
         self._clock = clock
         self._duration = duration
         self._capacity = capacity
-        self._death_limit = death_limit
         self._suspicion_by_fingerprint: OrderedDict[str, _Suspicion] = OrderedDict()
 
-    def count_death(self, fingerprint: str) -> SuspectReport:
-        """Count one death and return the report for the other VMs."""
+    def count_death(self, fingerprint: str, started: Millis) -> SuspectReport | None:
+        """Count a death of the upstream that ran a request since `started`.
+
+        Returns the report for the other VMs; None if the request was already running
+        at the last death that counts, and so is no evidence of another one.
+        """
+        now = self._clock.now()
+        known = self._find(fingerprint)
+        if known is not None and started < known.last_death_at:
+            return None
         deaths = self.deaths(fingerprint) + 1
-        duration = self._duration if deaths >= self._death_limit else DEFAULT_MEMORY
-        self._remember(fingerprint, _Suspicion(deaths, self._clock.now() + duration))
+        duration = self._duration if deaths >= DEATH_LIMIT else DEFAULT_MEMORY
+        self._remember(fingerprint, _Suspicion(deaths, now + duration, now))
         return SuspectReport(fingerprint, deaths, duration)
 
     def report(self, fingerprint: str, deaths: int, duration: Millis) -> None:
         """Take in another VM's report: the higher count and the later end stand."""
-        until = self._clock.now() + duration
+        now = self._clock.now()
+        until, last_death_at = now + duration, now
         known = self._find(fingerprint)
         if known is not None:
+            if deaths <= known.deaths:
+                last_death_at = known.last_death_at
             deaths = max(deaths, known.deaths)
             until = max(until, known.until)
-        self._remember(fingerprint, _Suspicion(deaths, until))
+        self._remember(fingerprint, _Suspicion(deaths, until, last_death_at))
 
     def clear(self, fingerprint: str) -> None:
         """Forget a fingerprint that got a whole answer."""
@@ -96,7 +106,7 @@
     def refused_for(self, fingerprint: str) -> Millis:
         """Return how long a fingerprint is still refused; 0 if it is not."""
         known = self._find(fingerprint)
-        if known is None or known.deaths < self._death_limit:
+        if known is None or known.deaths < DEATH_LIMIT:
             return 0.0
         return known.until - self._clock.now()
 
--- a/lagoonlatch/upstreams/runner.py
+++ b/lagoonlatch/upstreams/runner.py
@@ -96,7 +96,9 @@
             service.latency.add(duration)
             self._quarantine.clear(pending.fingerprint)
         elif _is_death(outcome.failure()):
-            self._report_suspect(self._quarantine.count_death(pending.fingerprint))
+            report = self._quarantine.count_death(pending.fingerprint, pending.started)
+            if report is not None:
+                self._report_suspect(report)
 
     def _go_elsewhere(
         self,
--- a/tests/upstreams/test_owner.py
+++ b/tests/upstreams/test_owner.py
@@ -10,6 +10,7 @@
     Unknown,
     UnknownReason,
 )
+from lagoonlatch.upstreams.outcomes import fingerprint_of
 from lagoonlatch.upstreams.owned import OwnerSettings
 from lagoonlatch.upstreams.owner import UpstreamOwner
 from tests.upstreams.processes import CLOCK, kinds, make_request, run_all, wait_until
@@ -161,7 +162,27 @@
     settings = OwnerSettings(data_centre="norte-1")
     owner = UpstreamOwner(settings, CLOCK, event_log, reports.append)
     for _ in range(2):
-        owner._note_death(owner.quarantine.count_death("request"))
+        owner._note_death(owner.quarantine.count_death("request", CLOCK.now()))
     (event,) = event_log.since(Stamp(0, 0))
     assert event.kind is EventKind.REQUEST_QUARANTINED
     assert [report.deaths for report in reports] == [1, 2]
+
+
+def test_equal_requests_that_one_death_ended_are_not_quarantined(
+    start_instance, start_owner
+):
+    """One death must not be counted once for each request that it ended."""
+    instance = start_instance("--work-ms", "200")
+    owner = start_owner([instance])
+    run_all(owner, [make_request(f"first-{n}", body=b"other") for n in range(6)])
+    running = [
+        gevent.spawn(owner.execute, make_request(f"r-{number}")) for number in range(3)
+    ]
+    gevent.sleep(0.1)
+    instance.kill()
+    failures = [greenlet.get().failure() for greenlet in running]
+    died = [f for f in failures if isinstance(f, Unknown) and f.upstream_died]
+    assert len(died) >= 2
+    fingerprint = fingerprint_of(make_request("r"))
+    assert owner.quarantine.deaths(fingerprint) == 1
+    assert owner.quarantine.refused_for(fingerprint) == 0.0
