Soak callers that read large pipelined answers late

A caller now sends 12 requests with answers of 400 kB ahead, reads nothing for up to 2 s and then checks each answer. The planted fault `reader_timeout_on_the_socket`, the connection as it was before, is found: another answer's bytes in a body.

--- a/lagoonlatch/standins/instance.py
+++ b/lagoonlatch/standins/instance.py
@@ -16,6 +16,10 @@
 
 HEALTH_PATH = "/healthz"
 
+LARGE_PREFIX = "/look/large-"
+LARGE_ANSWER_BYTES = 400_000
+"""Size of the answers to requests whose path begins with `LARGE_PREFIX`."""
+
 
 class InstanceStandin:
     """Runs requests and counts them.
@@ -207,7 +211,15 @@
             return [b"failed"]
         self.status_by_request[request] = 200
         start("200 OK", headers)
-        return [body or environ["PATH_INFO"].encode()]
+        return [body or answer_body(environ["PATH_INFO"])]
+
+
+def answer_body(path: str) -> bytes:
+    """Return the answer to a request without a body, which belongs to its path."""
+    if not path.startswith(LARGE_PREFIX):
+        return path.encode()
+    line = f"{path}\n".encode()
+    return line * (LARGE_ANSWER_BYTES // len(line))
 
 
 def _now() -> Millis:
--- a/tests/soak/kinds.py
+++ b/tests/soak/kinds.py
@@ -11,7 +11,7 @@
 from lagoonlatch.clock import MILLIS_PER_SECOND, Millis
 from lagoonlatch.platform.registrations import UPSTREAM_PREFIX
 from lagoonlatch.standins.faults import ANY_GROUP, Fault, Rule, Swallow
-from tests.soak.world import DATA_CENTRES, Span, World, now
+from tests.soak.world import DATA_CENTRES, SlowCaller, Span, World, now
 
 STOP_GRACE: Millis = 6_000.0
 """A VM is killed so long after SIGTERM, as its settings say."""
@@ -19,6 +19,13 @@
 START: Millis = 2_500.0
 """A VM that starts is not yet in touch; others of the machine start beside it."""
 
+SLOW_CALLERS = 3
+PIPELINED = 12
+"""Requests that a slow caller sends ahead; more than the kernel's buffers take in."""
+
+MAX_STALL: Millis = 2_000.0
+"""Longest time for which a slow caller reads nothing."""
+
 COLD_TIME: Millis = 3_000.0
 """How long an upstream is cold that comes back in an outage."""
 
@@ -123,6 +130,20 @@
         world.signal(vm, signal.SIGCONT)
 
 
+@kind
+def slow_callers(world: World, rng: random.Random, duration: Millis) -> None:
+    """Let callers read large answers late; that disturbs nothing."""
+    callers = [
+        SlowCaller(world, _any_vm(world, rng), rng.randrange(2**32), rng)
+        for _ in range(SLOW_CALLERS)
+    ]
+    stall = min(duration, MAX_STALL)
+    gevent.joinall(
+        [gevent.spawn(caller.run, PIPELINED, stall) for caller in callers],
+        raise_error=True,
+    )
+
+
 @kind
 def vm_reload(world: World, rng: random.Random, _duration: Millis) -> None:
     """Tell a VM that its settings have changed; that disturbs nothing."""
--- a/tests/soak/planted.py
+++ b/tests/soak/planted.py
@@ -133,6 +133,24 @@
     EntryProcess._create_components = create
 
 
+@plant
+def reader_timeout_on_the_socket() -> None:
+    """Let the timeout of a connection's reader end its writes, and go on."""
+    from lagoonlatch.entry.connection import CallerConnection
+
+    def receive_within(self, timeout):
+        self._sock.settimeout(timeout / 1_000.0)
+        try:
+            return self._sock.recv(65_536)
+        except TimeoutError:
+            return None
+
+    CallerConnection._tune_socket = lambda self: None
+    CallerConnection._receive_within = receive_within
+    CallerConnection._send = lambda self, data: self._sock.sendall(data)
+    CallerConnection._end = lambda self, error: None
+
+
 @plant
 def evacuation_ignored() -> None:
     """Go on sending to evacuated data centres."""
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -73,6 +73,17 @@
     assert not verdict.problems
 
 
+def test_a_write_that_the_readers_timeout_ends_is_found():
+    planted = "reader_timeout_on_the_socket"
+    verdict = play(7, 8_000.0, planted=planted, kinds=("slow_callers",))
+    assert any("another answer" in problem for problem in verdict.problems)
+
+
+def test_slow_callers_get_their_own_answers():
+    verdict = play(7, 8_000.0, kinds=("slow_callers", "vm_stop"))
+    assert not verdict.problems
+
+
 LAPSE = {"vms": 10, "instances": 3, "kinds": ("store_lapses",), "cold_rate": 8.0}
 
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -16,7 +16,11 @@
 from lagoonlatch.platform.registrations import UPSTREAM_PREFIX
 from lagoonlatch.standins.entry_fleet import HOST, EntryFleet
 from lagoonlatch.standins.faults import ANY_GROUP, Fault, FaultProxy, Forward, Rule
-from lagoonlatch.standins.instance import InstanceStandin
+from lagoonlatch.standins.instance import (
+    LARGE_PREFIX,
+    InstanceStandin,
+    answer_body,
+)
 
 DEADLINE: Millis = 2_500.0
 """How long a caller waits; the route's timeout is longer."""
@@ -35,6 +39,9 @@
 
 EQUAL_AFFINITY = 100
 
+RECEIVE_BYTES = 65_536
+"""Size of a slow caller's receive buffer."""
+
 GHOST_LIFETIME: Millis = 3_000.0
 """After this the platform removes an entry that its upstream doesn't renew."""
 
@@ -56,6 +63,7 @@
     is_unsafe: bool
     is_equal: bool
     sent: Millis
+    is_large: bool = False
     ended: Millis = 0.0
     status: int = 0
     has_stamp: bool = False
@@ -63,11 +71,18 @@
 
     @property
     def path(self) -> str:
-        """The requested path; the upstream answers with it or with the body."""
+        """The requested path."""
         if self.is_equal:
             return EQUAL_PATH
+        if self.is_large:
+            return f"{LARGE_PREFIX}{self.id}"
         return f"/book/{self.id}" if self.is_unsafe else f"/look/{self.id}"
 
+    @property
+    def expected_body(self) -> bytes:
+        """The body of a success."""
+        return self.id.encode() if self.is_unsafe else answer_body(self.path)
+
 
 @dataclass(frozen=True)
 class Span:
@@ -288,8 +303,7 @@
         body = self._read_bytes(length)
         asked.has_stamp = "server-stamp" in headers
         if asked.status == 200:
-            expected = asked.id if asked.is_unsafe else asked.path
-            if body != expected.encode() or headers.get("request-id") != asked.id:
+            if body != asked.expected_body or headers.get("request-id") != asked.id:
                 asked.problem = f"another answer: {headers} {body[:80]!r}"
             elif "server-stamp" not in headers:
                 asked.problem = "success without the upstream's stamp"
@@ -320,3 +334,58 @@
         if self._sock is not None:
             self._sock.close()
         self._sock = None
+
+
+class SlowCaller(Caller):
+    """Sends requests with large answers ahead, and reads the answers late."""
+
+    def run(self, count: int, stall: Millis) -> None:
+        """Send `count` requests at once and read nothing for a time."""
+        asked = [self._next_large() for _ in range(count)]
+        port = self._world.vms_by_id[self._vm].caller_port
+        try:
+            self._sock = socket.create_connection(("127.0.0.1", port), timeout=1.0)
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES)
+            self._sock.settimeout((DEADLINE + ANSWER_MARGIN) / MILLIS_PER_SECOND)
+            self._sock.sendall(b"".join(map(self._encode, asked)))
+        except OSError:
+            # A VM that is down or has stopped listening reads none of them.
+            return
+        self._world.history.asked += asked
+        gevent.sleep(stall / MILLIS_PER_SECOND)
+        self._read_answers(asked)
+        self._close()
+
+    def _read_answers(self, asked: list[Asked]) -> None:
+        for number, one in enumerate(asked):
+            try:
+                self._take_answer(one)
+            except (ValueError, IndexError):
+                one.problem = f"bytes that are no answer: {self._read[:80]!r}"
+            except TimeoutError:
+                one.problem = "no final answer in time"
+            except OSError:
+                self._close()
+            one.ended = now()
+            if one.problem or self._sock is None:
+                self._end_rest(asked[number + 1 :], is_unread=bool(one.status))
+                return
+
+    def _end_rest(self, rest: list[Asked], is_unread: bool) -> None:
+        """Record requests behind the last answer; after its close they are unread."""
+        for one in rest:
+            one.ended = now()
+            if is_unread:
+                self._world.history.asked.remove(one)
+
+    def _next_large(self) -> Asked:
+        self._count += 1
+        return Asked(
+            id=f"{self._vm}.slow.{self._number}.{self._count}",
+            vm=self._vm,
+            key=self._world.history.keys[-1][1],
+            is_unsafe=False,
+            is_equal=False,
+            is_large=True,
+            sent=now(),
+        )
