--- a/lagoonlatch/entry/catch_up.py
+++ b/lagoonlatch/entry/catch_up.py
@@ -80,6 +80,10 @@
 """Longest call; enough for the whole store over a link of 1 Mbit/s."""
 
 
+MAX_CALL_BYTES = 64 * 1024
+"""Limit of a call, which states what the caller knows; its answer may be far larger."""
+
+
 class CatchUpServer:
     """Answer calls of VMs that lack changes which this VM has."""
 
@@ -118,7 +122,7 @@
     def _serve_connection(self, sock: socket.socket, _address: tuple) -> None:
         tune_peer_socket(sock)
         sock.settimeout(READ_TIMEOUT / MILLIS_PER_SECOND)
-        protocol = TBinaryProtocolAccelerated(framed_transport(sock))
+        protocol = TBinaryProtocolAccelerated(framed_transport(sock, MAX_CALL_BYTES))
         processor = News.Processor(self)
         try:
             with gevent.Timeout(CALL_TIMEOUT / MILLIS_PER_SECOND, TimeoutError):
--- a/tests/entry/test_catch_up.py
+++ b/tests/entry/test_catch_up.py
@@ -1,7 +1,13 @@
 """Catching up of a VM that lacks changes which other VMs have."""
 
+import itertools
+import struct
+import tracemalloc
+
+import gevent
 import pytest
 import zstandard
+from gevent import socket
 from returns.result import Failure, Success
 
 from lagoonlatch.entry import catch_up
@@ -216,3 +222,31 @@
     answer = CatchUpServer(vm.replica).read_since(10, 8, 0, 3)
     assert answer == wire.Reading()
     assert encode_batch(vm.replica.batch_since(10)).changes == []
+
+
+MAX_MEMORY_BYTES = 8 * 1024 * 1024
+"""Memory limit; beyond it, memory use counts as growing with the data sent."""
+
+
+def test_endless_calls_of_other_vms_use_little_memory():
+    """Guards against a VM that keeps the bytes of any number of faulty VMs."""
+    server = CatchUpServer(Vm().replica).serve("127.0.0.1:0")
+
+    def send():
+        with socket.create_connection(("127.0.0.1", server.server_port)) as sock:
+            try:
+                sock.sendall(struct.pack("!i", 30 * 1024 * 1024))
+                for _ in itertools.count():
+                    sock.sendall(b"x" * 65_536)
+            except OSError:
+                # The VM has closed the connection.
+                return
+
+    tracemalloc.start()
+    senders = [gevent.spawn(send) for _ in range(6)]
+    gevent.joinall(senders, timeout=2.0)
+    _, peak = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    server.stop()
+    assert all(sender.ready() for sender in senders)
+    assert peak < MAX_MEMORY_BYTES
