--- a/lagoonlatch/entry/connection.py
+++ b/lagoonlatch/entry/connection.py
@@ -17,12 +17,12 @@
 from returns.result import Failure, Result, Success
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
+from lagoonlatch.entry.answer_memory import AnswerMemoryLimit
 from lagoonlatch.entry.events import (
     AnswerCutOff,
     CallerBytesRejected,
     RequestCrashed,
 )
-from lagoonlatch.entry.exchange import AnswerMemoryLimit
 from lagoonlatch.entry.journal import emit
 from lagoonlatch.entry.messages import (
     CONNECTION_FIELDS,
--- a/lagoonlatch/entry/exchange.py
+++ b/lagoonlatch/entry/exchange.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import errno
 import itertools
 from collections.abc import Iterator
@@ -10,9 +9,9 @@
 import gevent
 import h11
 from gevent import socket
-from gevent.event import Event
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
+from lagoonlatch.entry.answer_memory import AnswerMemoryLimit
 from lagoonlatch.entry.messages import (
     Answered,
     FailureKind,
@@ -50,9 +49,6 @@
 """Limit of the interim answers, and of the answers to other requests, that are skipped
 before the expected one. A faulty upstream may send them without end."""
 
-UNLIMITED_BYTES = 64 * 1024
-"""Bytes of an answer that are read even if answers use all memory that they may."""
-
 _CHUNK_BYTES = 64 * 1024
 _MISDIRECTED = 421
 _FIRST_SUCCESS, _FIRST_REDIRECT = 200, 300
@@ -239,81 +235,6 @@
     """The upstream sent data that can't be part of a valid answer."""
 
 
-class AnswerMemoryLimit:
-    """Limits the memory of all answers that this VM holds, until they are written.
-
-    An answer is incomplete while it is read from its upstream, then complete until its
-    caller has accepted it. At the limit, reading stops until callers have accepted
-    answers; each answer may have `UNLIMITED_BYTES` at any time, so that small answers
-    don't wait for large ones. Incomplete answers could wait for each other without end,
-    so the oldest of them may go on.
-
-    Parameters
-    ----------
-    limit : int
-        Bytes that all answers may use together, and that one answer may have.
-    """
-
-    def __init__(self, limit: int) -> None:
-        self.limit = limit
-        self._complete_bytes = 0
-        self._incomplete_bytes = 0
-        # In the order of their first bytes beyond those that are not limited.
-        self._large_incomplete: dict[object, None] = {}
-        self._released = Event()
-
-    @property
-    def used_bytes(self) -> int:
-        """Bytes that all answers use."""
-        return self._incomplete_bytes + self._complete_bytes
-
-    def add_incomplete(self, answer: object, size: int, total: int) -> None:
-        """Count `size` more bytes of an incomplete answer that now has `total`."""
-        self._incomplete_bytes += size
-        if total > UNLIMITED_BYTES:
-            self._large_incomplete[answer] = None
-
-    def release_incomplete(self, answer: object, total: int) -> None:
-        """Subtract the bytes of an answer that is complete or given up."""
-        self._incomplete_bytes -= total
-        self._large_incomplete.pop(answer, None)
-        self._wake_readers()
-
-    @contextlib.contextmanager
-    def hold_complete(self, size: int) -> Iterator[None]:
-        """Count `size` bytes of a complete answer until its write has ended."""
-        self._complete_bytes += size
-        try:
-            yield
-        finally:
-            self._complete_bytes -= size
-            self._wake_readers()
-
-    def wait_for_memory(self, answer: object, timeout: Millis) -> None:
-        """Wait until more bytes of an incomplete answer may be read.
-
-        Raises
-        ------
-        TimeoutError
-            If there is no memory within `timeout`.
-        """
-        if self._may_grow(answer):
-            return
-        with gevent.Timeout(max(timeout, 1.0) / MILLIS_PER_SECOND, TimeoutError):
-            while not self._may_grow(answer):
-                self._released.wait()
-
-    def _may_grow(self, answer: object) -> bool:
-        if answer not in self._large_incomplete or self.used_bytes <= self.limit:
-            return True
-        is_oldest = answer is next(iter(self._large_incomplete))
-        return is_oldest and self._complete_bytes <= self.limit
-
-    def _wake_readers(self) -> None:
-        released, self._released = self._released, Event()
-        released.set()
-
-
 class _Sender:
     """Sends one request and records whether the kernel accepted any bytes."""
 
--- a/lagoonlatch/entry/pool.py
+++ b/lagoonlatch/entry/pool.py
@@ -5,7 +5,8 @@
 from collections import defaultdict
 
 from lagoonlatch.clock import Clock, Millis
-from lagoonlatch.entry.exchange import AnswerMemoryLimit, UpstreamConnection
+from lagoonlatch.entry.answer_memory import AnswerMemoryLimit
+from lagoonlatch.entry.exchange import UpstreamConnection
 from lagoonlatch.steering.model import UpstreamRecord
 
 
--- a/lagoonlatch/entry/probes.py
+++ b/lagoonlatch/entry/probes.py
@@ -8,8 +8,9 @@
 import gevent
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
+from lagoonlatch.entry.answer_memory import AnswerMemoryLimit
 from lagoonlatch.entry.events import UpstreamSuspected, UpstreamTrusted
-from lagoonlatch.entry.exchange import AnswerMemoryLimit, UpstreamConnection
+from lagoonlatch.entry.exchange import UpstreamConnection
 from lagoonlatch.entry.facts import Facts
 from lagoonlatch.entry.journal import emit
 from lagoonlatch.entry.messages import Answered, Outcome, UpstreamRequest
--- a/lagoonlatch/entry/process.py
+++ b/lagoonlatch/entry/process.py
@@ -14,6 +14,7 @@
 from returns.result import Failure
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
+from lagoonlatch.entry.answer_memory import AnswerMemoryLimit
 from lagoonlatch.entry.attempts import AttemptRunner
 from lagoonlatch.entry.catch_up import CatchUpClient, CatchUpServer
 from lagoonlatch.entry.connection import CallerConnection
@@ -26,7 +27,6 @@
     StoreEraOdd,
     TaskFailed,
 )
-from lagoonlatch.entry.exchange import AnswerMemoryLimit
 from lagoonlatch.entry.facts import Facts
 from lagoonlatch.entry.handling import RequestHandler
 from lagoonlatch.entry.http_endpoints import (
--- a/lagoonlatch/steering/crashes.py
+++ b/lagoonlatch/steering/crashes.py
@@ -17,7 +17,7 @@
 import math
 from collections import OrderedDict
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from lagoonlatch.clock import Clock, Millis
 
@@ -95,9 +95,8 @@
             same = known.get(crash.run)
             has_new = has_new or same is None
             if same is not None:
-                crash = Crash(
-                    upstream=crash.upstream,
-                    born=crash.born,
+                crash = replace(
+                    crash,
                     sent_at=min(crash.sent_at, same.sent_at),
                     ended_at=min(crash.ended_at, same.ended_at),
                 )
--- a/tests/entry/test_attempts.py
+++ b/tests/entry/test_attempts.py
@@ -4,8 +4,8 @@
 
 import pytest
 
+from lagoonlatch.entry.answer_memory import AnswerMemoryLimit
 from lagoonlatch.entry.attempts import GRANT_LIFETIME, AttemptRunner
-from lagoonlatch.entry.exchange import AnswerMemoryLimit
 from lagoonlatch.entry.messages import (
     Answered,
     FailureKind,
--- a/tests/entry/test_connection.py
+++ b/tests/entry/test_connection.py
@@ -9,8 +9,8 @@
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Clock
 from lagoonlatch.entry import connection
+from lagoonlatch.entry.answer_memory import AnswerMemoryLimit
 from lagoonlatch.entry.connection import IDLE_CHECK_INTERVAL, CallerConnection
-from lagoonlatch.entry.exchange import AnswerMemoryLimit
 from lagoonlatch.entry.messages import CallerAnswer
 from lagoonlatch.steering.model import CallerLimits
 
--- a/tests/entry/test_endless.py
+++ b/tests/entry/test_endless.py
@@ -11,7 +11,8 @@
 
 from lagoonlatch.clock import Clock
 from lagoonlatch.entry import exchange
-from lagoonlatch.entry.exchange import AnswerMemoryLimit, UpstreamConnection
+from lagoonlatch.entry.answer_memory import AnswerMemoryLimit
+from lagoonlatch.entry.exchange import UpstreamConnection
 from lagoonlatch.entry.messages import Answered, Unknown
 from tests.entry.scripted import ScriptedUpstream
 from tests.entry.test_connection import Session
