--- a/lagoonlatch/entry/peers.py
+++ b/lagoonlatch/entry/peers.py
@@ -380,7 +380,7 @@
     def report_suspect(self, fingerprint: str) -> None:
         """Report to all other VMs the crashes that a request may have caused.
 
-        Without any, the request is reported as no longer suspected.
+        A request without any is reported as cleared.
         """
         now = self._clock.now()
         crashes = self._quarantine.crashes(fingerprint)
--- a/lagoonlatch/steering/cold_start.py
+++ b/lagoonlatch/steering/cold_start.py
@@ -4,10 +4,10 @@
 under more. All VMs choose the same few senders by rendezvous hashing. Each sender uses
 an equal part of that rate, and the other VMs send nothing.
 
-The choice needs all VMs that may send. After an outage of the store the entries of VMs
-may be missing though the VMs run, and a VM that has just started hears of the others
-only by and by. At such times VMs of the roster count, which has no lease. Some of them
-may be gone, so that fewer VMs send for a short time.
+The choice must consider all VMs that may send. After an outage of the store, entries of
+running VMs may be missing, and a VM that has just started hasn't received heartbeats of
+the others yet. At such times all VMs of the roster count, which has no lease. Some of
+them may be gone, so that fewer VMs send for a short time.
 """
 
 from __future__ import annotations
@@ -39,7 +39,7 @@
     list_roster : callable
         Returns the ids of all VMs that have ever registered.
     may_miss_vms : callable
-        Returns whether VMs may be present of which this VM doesn't know it.
+        Returns whether VMs that this VM doesn't know of may be present.
     """
 
     def __init__(
--- a/lagoonlatch/steering/crashes.py
+++ b/lagoonlatch/steering/crashes.py
@@ -1,14 +1,14 @@
 """Requests that may crash the upstreams that run them.
 
-A request is known by its fingerprint, which equal requests share. A crash is one event
-of one run of an upstream, however many equal requests it ended and however many VMs
-noticed it. Upstreams may also crash together for a reason of their own, and then a
-request that was running at several of them is innocent. A crash is therefore evidence
+A request is identified by its fingerprint, which equal requests share. A crash is one
+event of one run of an upstream, however many equal requests it ended and however many
+VMs noticed it. Upstreams may also crash together for another reason, such as a loss of
+power, while a harmless request is running at several of them. A crash therefore counts
 against a request only if the request was sent to that upstream after the previous crash
 that counts.
 
 At `CRASH_LIMIT` the request is refused for a time that doubles with each further crash.
-After that time one request at a time is let through: it either crashes the upstream,
+After that time each VM lets one request at a time run: it either crashes the upstream,
 which counts, or is answered, which clears the suspicion at all VMs.
 """
 
