Divide the part of a limit that VMs grant which all restart in an outage

For each upstream it was the first VM in its own eyes and granted a quarter of the limit that the upstream names; ten such VMs granted two and a half times the limit, 195 VMs 49 times.

Cause: `RateAuthority` orders the VMs with an entry, and an empty list looks like a fleet of one VM. The roster, which has no lease, tells the two apart.

A VM that starts among VMs with entries grants a quarter as before.

Not covered: limits that a restarted VM doesn't remember.

--- a/lagoonlatch/entry/facts.py
+++ b/lagoonlatch/entry/facts.py
@@ -198,8 +198,20 @@
         as upstreams. A VM that starts may read the store just after an outage that it
         hasn't noticed.
         """
-        is_new = self._clock.now() - self._first_snapshot_at < HOLD_TIME
-        return is_new or self.hold_left() > 0.0
+        return self._is_new() or self.hold_left() > 0.0
+
+    def vms_without_entry_at_start(self) -> frozenset[str]:
+        """Return the VMs of the roster without an entry, shortly after the start.
+
+        If they started in an outage as well, they don't know this VM either. Later this
+        VM knows those that are present, and the result is empty.
+        """
+        if not self._is_new():
+            return frozenset()
+        return frozenset(self.roster.keys() - self.vms_by_id.keys())
+
+    def _is_new(self) -> bool:
+        return self._clock.now() - self._first_snapshot_at < HOLD_TIME
 
     def apply_snapshot(self, entries: Sequence[Entry], era: int = 0) -> None:
         """Replace all facts by `entries` of the store in its era `era`."""
--- a/lagoonlatch/entry/process.py
+++ b/lagoonlatch/entry/process.py
@@ -229,6 +229,7 @@
         self._rate_authority = RateAuthority(
             self._own_record,
             lambda: self._facts.vms_by_id,
+            self._facts.vms_without_entry_at_start,
             settings.region_by_data_centre,
             self._facts.age,
             self._stop_requested.is_set,
--- a/lagoonlatch/steering/rate_authority.py
+++ b/lagoonlatch/steering/rate_authority.py
@@ -8,7 +8,9 @@
 - The first VM grants the whole limit, if its knowledge of the store is recent and its
   own entry has been known for so long that earlier first VMs know it too. At most one
   VM is in this state, since the lease of an entry lasts longer than `MAX_FACTS_AGE`.
-- The first VM otherwise grants `UNCERTAIN_FRACTION`.
+- The first VM otherwise grants `UNCERTAIN_FRACTION`. VMs that have all started in an
+  outage of the store don't know each other, so that each is the first one in its own
+  list. They divide `UNCERTAIN_FRACTION` by the number of VMs that may be in this state.
 - The second VM, which gets claims while the first one doesn't answer, grants
   `DEPUTY_FRACTION` under the same conditions.
 - Other VMs grant nothing.
@@ -17,7 +19,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Set
 
 from lagoonlatch.clock import Clock, Millis
 from lagoonlatch.membership.rendezvous import ranked
@@ -46,6 +48,9 @@
         The record of this VM.
     list_vms : callable
         Returns the VMs with an entry, by id.
+    list_unknown : callable
+        Returns the ids of the VMs that may have started like this one and that it
+        doesn't know yet.
     facts_age : callable
         Returns how long ago the knowledge of the store was last known to be current.
     is_leaving : callable
@@ -56,6 +61,7 @@
         self,
         own_record: VmRecord,
         list_vms: Callable[[], Mapping[str, VmRecord]],
+        list_unknown: Callable[[], Set[str]],
         region_by_data_centre: Mapping[str, str],
         facts_age: Callable[[], Millis],
         is_leaving: Callable[[], bool],
@@ -63,6 +69,7 @@
     ) -> None:
         self._own_record = own_record
         self._list_vms = list_vms
+        self._list_unknown = list_unknown
         self._region_by_data_centre = region_by_data_centre
         self._facts_age = facts_age
         self._is_leaving = is_leaving
@@ -93,9 +100,13 @@
             and self._facts_age() < MAX_FACTS_AGE
         )
         if rank == 0:
-            return 1.0 if is_certain else UNCERTAIN_FRACTION
+            return 1.0 if is_certain else UNCERTAIN_FRACTION / self._count_alike()
         return DEPUTY_FRACTION if rank == 1 and is_certain else 0.0
 
+    def _count_alike(self) -> int:
+        """Return the number of VMs that may each take itself for the first one."""
+        return len({*self._list_unknown(), self._own_record.id})
+
     def _rank(self, upstream_id: str, data_centre: str) -> int:
         """Return the number of VMs that come before this VM."""
         own_id = self._own_record.id
--- a/tests/entry/test_cold_senders.py
+++ b/tests/entry/test_unknown_vms.py
@@ -1,4 +1,4 @@
-"""Which VMs an entry VM takes for senders to a cold upstream."""
+"""What an entry VM uses of a rate that all VMs share, with VMs that it may not know."""
 
 import os
 
@@ -9,9 +9,11 @@
 from lagoonlatch.entry.generated import ttypes as wire
 from lagoonlatch.entry.journal import LineQueue
 from lagoonlatch.entry.process import EntryProcess
+from lagoonlatch.membership.rendezvous import ranked
 from lagoonlatch.platform.kv import Change
 from lagoonlatch.platform.registrations import (
     ROSTER_PREFIX,
+    UPSTREAM_PREFIX,
     VM_PREFIX,
     encode_roster,
     encode_vm,
@@ -20,6 +22,8 @@
 from lagoonlatch.platform.store import Entry
 from lagoonlatch.standins.manual_clock import ManualClock
 from lagoonlatch.steering.model import VmRecord
+from lagoonlatch.steering.rate_authority import UNCERTAIN_FRACTION
+from tests.entry.test_facts import upstream
 from tests.entry.test_peers import encode
 
 SETTINGS = """
@@ -110,3 +114,24 @@
     clock.advance(60_000.0)
     vm._facts.apply_changes([Change(f"{VM_PREFIX}{VMS[3]}", None, 5)])
     assert senders(vm) == [name for name in VMS if name != VMS[3]]
+
+
+def test_vms_that_restart_in_an_outage_grant_a_limit_once_together(vm, clock):
+    """LIMIT: each of them is the only VM that it knows, and so the home VM."""
+    upstream_entry = Entry(f"{UPSTREAM_PREFIX}u1", upstream(), 1)
+    vm._facts.apply_snapshot([*roster_entries(), upstream_entry])
+    assert vm._granted_fraction("u1") * len(VMS) <= UNCERTAIN_FRACTION
+    clock.advance(HOLD_TIME)
+    assert vm._granted_fraction("u1") == UNCERTAIN_FRACTION
+
+
+def test_vm_that_starts_among_known_vms_grants_a_part_of_a_limit(vm):
+    entries = [vm_entry(name, 2) for name in VMS if name != VMS[0]]
+    first = next(
+        name
+        for name in map("u{}".format, range(1_000))
+        if ranked(name, VMS)[0] == VMS[0]
+    )
+    upstream_entry = Entry(f"{UPSTREAM_PREFIX}{first}", upstream(), 1)
+    vm._facts.apply_snapshot([*roster_entries(), *entries, upstream_entry])
+    assert vm._granted_fraction(first) == UNCERTAIN_FRACTION
--- a/tests/steering/limited_fleet.py
+++ b/tests/steering/limited_fleet.py
@@ -91,6 +91,7 @@
         self.authority = RateAuthority(
             self.record,
             lambda: self.known_vms,
+            frozenset,
             REGION_BY_DATA_CENTRE,
             lambda: clock.now() - self.current_at,
             lambda: False,
--- a/tests/steering/test_rate_authority.py
+++ b/tests/steering/test_rate_authority.py
@@ -2,6 +2,8 @@
 
 from dataclasses import replace
 
+import pytest
+
 from lagoonlatch.membership.rendezvous import ranked
 from lagoonlatch.standins.manual_clock import ManualClock
 from lagoonlatch.steering.rate_authority import (
@@ -21,6 +23,7 @@
     def __init__(self, rank=0, data_centre="n-a"):
         self.clock = ManualClock()
         self.age = 0.0
+        self.unknown = frozenset()
         self.is_leaving = False
         names = ranked("u1", [f"vm-{n}" for n in range(5)])
         self.vms = {name: make_vm(name, data_centre) for name in names}
@@ -29,6 +32,7 @@
         self.authority = RateAuthority(
             self.own,
             lambda: self.vms,
+            lambda: self.unknown,
             REGION_BY_DATA_CENTRE,
             lambda: self.age,
             lambda: self.is_leaving,
@@ -84,6 +88,20 @@
     assert view.fraction() == UNCERTAIN_FRACTION
 
 
+@pytest.mark.parametrize("count", [10, 77, 195])
+def test_vms_that_know_no_other_grant_a_part_together(count):
+    """LIMIT: after a restart in an outage each of them is the only VM that it knows."""
+    names = frozenset(f"vm-{number}" for number in range(count))
+    granted = 0.0
+    for _ in names:
+        view = View()
+        view.vms = {}
+        view.unknown = names - {view.own.id}
+        view.authority.note_vms_changed()
+        granted += view.fraction()
+    assert granted == pytest.approx(UNCERTAIN_FRACTION)
+
+
 def test_second_vm_takes_over_when_the_entry_of_the_first_is_gone():
     view = View(rank=1)
     del view.vms[next(name for name in view.vms if name != view.own.id)]
