Refuse downloads at once while slow callers use up the memory for answers

Load: callers that accept large answers slower than upstreams give them, for longer than a second. Short peaks with fast connections wait as before.

Requests of download routes then get 503 and a Retry-After of 0.5 s before anything is sent. Other routes are served as before, since the size of their answers isn't known.

--- a/lagoonlatch/entry/handling.py
+++ b/lagoonlatch/entry/handling.py
@@ -11,6 +11,7 @@
 from gevent.event import AsyncResult, Event
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
+from lagoonlatch.entry.answer_memory import AnswerMemoryLimit
 from lagoonlatch.entry.attempts import AttemptRunner
 from lagoonlatch.entry.events import RequestEnded
 from lagoonlatch.entry.facts import Facts
@@ -41,7 +42,7 @@
 )
 from lagoonlatch.steering.allowances import Allowances
 from lagoonlatch.steering.crashes import CRASH_LIMIT, CrashQuarantine
-from lagoonlatch.steering.model import Organisation, Route
+from lagoonlatch.steering.model import Organisation, Route, RouteKind
 from lagoonlatch.steering.placement import Candidates, Placement, PlacementRequest
 from lagoonlatch.steering.queueing import RequestPriority, WaitingQueue
 from lagoonlatch.steering.retries import RetryBudget
@@ -57,6 +58,10 @@
 NO_UPSTREAM_RETRY_DELAY: Millis = 500.0
 """Delay after which a caller retries if no upstream may get the request."""
 
+ANSWER_MEMORY_RETRY_DELAY: Millis = 500.0
+"""Delay after which a caller retries a download for whose answer this VM has no memory;
+its next connection probably leads to another VM."""
+
 _RETRIED_STATUSES = frozenset({500, 502, 503, 504})
 
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -180,6 +185,7 @@
         slot_client: SlotClient,
         borrow: Callable[[str], bool],
         quarantine: CrashQuarantine,
+        answer_memory_limit: AnswerMemoryLimit,
         metrics: EntryMetrics,
         clock: Clock,
     ) -> None:
@@ -193,6 +199,7 @@
         self._slot_client = slot_client
         self._borrow = borrow
         self._quarantine = quarantine
+        self._answer_memory_limit = answer_memory_limit
         self._metrics = metrics
         self._clock = clock
         self._splitter = Splitter()
@@ -266,6 +273,8 @@
         remaining_quarantine = self._quarantine.admit(context.fingerprint)
         if remaining_quarantine > 0.0:
             return self._give_up(context, "quarantined", remaining_quarantine)
+        if route.kind is RouteKind.DOWNLOAD and self._answer_memory_limit.is_congested:
+            return self._give_up(context, "no memory", ANSWER_MEMORY_RETRY_DELAY)
         if organisation is not None:
             retry_delay = self._consume_token(organisation.id)
             if retry_delay is not None:
--- a/lagoonlatch/entry/process.py
+++ b/lagoonlatch/entry/process.py
@@ -273,7 +273,7 @@
             clock,
         )
         answer_memory_limit = self._answer_memory_limit = AnswerMemoryLimit(
-            round(settings.memory_bytes * ANSWER_MEMORY_FRACTION)
+            round(settings.memory_bytes * ANSWER_MEMORY_FRACTION), clock
         )
         self._pool = ConnectionPool(answer_memory_limit, clock)
         self._notices = UpstreamNotices(
@@ -325,6 +325,7 @@
             self._slots,
             self._peers.borrower.borrow,
             quarantine,
+            answer_memory_limit,
             self._metrics,
             clock,
         )
--- a/lagoonlatch/standins/entry_fleet.py
+++ b/lagoonlatch/standins/entry_fleet.py
@@ -66,6 +66,8 @@
         Upstream instances, over the data centres in turn.
     output : int or file
         Where the VMs write their log lines.
+    memory_mb : float
+        Memory that the settings allow a VM, in 2**20 bytes.
 
     Attributes
     ----------
@@ -82,6 +84,7 @@
         vms: int = 3,
         instances: int = 6,
         output: int | IO[bytes] = subprocess.DEVNULL,
+        memory_mb: float = 200.0,
     ) -> None:
         self.store = KvStoreStandin()
         self.instances_by_id: dict[str, InstanceStandin] = {}
@@ -89,6 +92,7 @@
         self.store_servers_by_vm: dict[str, WSGIServer] = {}
         self.cold_start: Millis = 200.0
         self.cold_rate = 50.0
+        self._memory_mb = memory_mb
         self._output = output
         self._vm_count = vms
         self._instance_count = instances
@@ -239,6 +243,8 @@
 front = "127.0.0.1:{ports[0]}"
 ready = "127.0.0.1:{ports[1]}"
 directory = "127.0.0.1:{ports[2]}"
+[limits]
+memory_mb = {self._memory_mb}
 [platform]
 addr = "{self.store_address(vm)}"
 """
@@ -383,6 +389,7 @@
         route("look", "safe"),
         route("once", "safe", max_attempts=1),
         route("book", "unsafe"),
+        route("fetch", "download"),
         service,
         organisation,
     ]
--- a/tests/entry/test_attempts.py
+++ b/tests/entry/test_attempts.py
@@ -67,7 +67,7 @@
     """Opens scripted connections; calls `on_open` before each."""
 
     def __init__(self, harness):
-        super().__init__(AnswerMemoryLimit(1_000), harness.clock)
+        super().__init__(AnswerMemoryLimit(1_000, harness.clock), harness.clock)
         self._harness = harness
         self.on_open = lambda: None
         self.opened = []
--- a/tests/entry/test_connection.py
+++ b/tests/entry/test_connection.py
@@ -49,7 +49,7 @@
     def __init__(self, limits=LIMITS, is_stopping=False):
         self.handler = EchoHandler()
         self.is_stopping = is_stopping
-        self.memory_limit = AnswerMemoryLimit(1_000_000)
+        self.memory_limit = AnswerMemoryLimit(1_000_000, Clock())
         self.caller, server = socket.socketpair()
         self.caller.settimeout(READ_TIMEOUT_SECONDS)
         self.connection = CallerConnection(
--- a/tests/entry/test_endless.py
+++ b/tests/entry/test_endless.py
@@ -84,7 +84,7 @@
     monkeypatch.setattr(exchange, "MAX_ANSWER_BYTES", 1024 * 1024)
     upstream = ScriptedUpstream(send_endlessly(*ENDLESS_ANSWERS[kind]))
     clock = Clock()
-    memory_limit = AnswerMemoryLimit(4 * 1024 * 1024)
+    memory_limit = AnswerMemoryLimit(4 * 1024 * 1024, Clock())
     connection = UpstreamConnection.open(upstream.address, 500.0, memory_limit, clock)
     pause_meter = PauseMeter()
     tracemalloc.start()
@@ -108,7 +108,7 @@
     complete_answer = HEAD + b"Content-Length: 2\r\n\r\nok"
     upstream = ScriptedUpstream(send_endlessly(complete_answer, b"x" * 65_536))
     connection = UpstreamConnection.open(
-        upstream.address, 500.0, AnswerMemoryLimit(1_000_000), Clock()
+        upstream.address, 500.0, AnswerMemoryLimit(1_000_000, Clock()), Clock()
     )
     outcome = connection.exchange(REQUEST, TIMEOUT)
     assert isinstance(outcome, Answered)
@@ -122,7 +122,7 @@
 def test_concurrent_endless_bodies_share_one_memory_limit():
     """All upstreams of a service send endless bodies at the same time."""
     limit = 2 * 1024 * 1024
-    memory_limit = AnswerMemoryLimit(limit)
+    memory_limit = AnswerMemoryLimit(limit, Clock())
     upstreams = [
         ScriptedUpstream(send_endlessly(*ENDLESS_ANSWERS["a body without a length"]))
         for _ in range(8)
--- a/tests/entry/test_exchange.py
+++ b/tests/entry/test_exchange.py
@@ -52,7 +52,7 @@
         upstream = ScriptedUpstream(*steps)
         upstreams.append(upstream)
         connection = UpstreamConnection.open(
-            upstream.address, 500.0, AnswerMemoryLimit(10_000_000), Clock()
+            upstream.address, 500.0, AnswerMemoryLimit(10_000_000, Clock()), Clock()
         )
         return upstream, connection
 
@@ -207,7 +207,7 @@
     upstream._read = lambda sock: sock.recv(100)
     upstream._steps = [answer_early]
     connection = UpstreamConnection.open(
-        upstream.address, 500.0, AnswerMemoryLimit(10_000_000), Clock()
+        upstream.address, 500.0, AnswerMemoryLimit(10_000_000, Clock()), Clock()
     )
     outcome = connection.exchange(POST, 2_000.0)
     assert isinstance(outcome, Answered | Unknown)
@@ -282,7 +282,7 @@
     upstream = ScriptedUpstream(step)
     try:
         connection = UpstreamConnection.open(
-            upstream.address, 500.0, AnswerMemoryLimit(10_000_000), Clock()
+            upstream.address, 500.0, AnswerMemoryLimit(10_000_000, Clock()), Clock()
         )
         assert isinstance(connection.exchange(REQUEST, 1_000.0), Unknown)
     finally:
--- a/tests/entry/test_handling.py
+++ b/tests/entry/test_handling.py
@@ -4,6 +4,7 @@
 import pytest
 
 from lagoonlatch.entry import handling
+from lagoonlatch.entry.answer_memory import CONGESTION_TIME, AnswerMemoryLimit
 from lagoonlatch.entry.facts import Facts
 from lagoonlatch.entry.handling import RequestHandler, SlotWaiter
 from lagoonlatch.entry.messages import (
@@ -111,6 +112,7 @@
             lambda: None,
             self.clock,
         )
+        self.answer_memory_limit = AnswerMemoryLimit(1_000_000, self.clock)
         self.handler = RequestHandler(
             self.facts,
             placement,
@@ -122,6 +124,7 @@
             self.slots,
             lambda _: False,
             self.quarantine,
+            self.answer_memory_limit,
             EntryMetrics("vm", "n-a"),
             self.clock,
         )
@@ -323,6 +326,28 @@
     assert line.why == "upstream status withheld"
 
 
+def test_download_is_refused_at_once_while_answers_use_all_memory():
+    """It would wait for memory until its deadline and use a slot of an upstream."""
+    harness = HandlerHarness(Answered(make_answer()), kind=RouteKind.DOWNLOAD, rate=1.0)
+    memory_limit = harness.answer_memory_limit
+    with memory_limit.hold_complete(memory_limit.limit + 1):
+        harness.clock.advance(CONGESTION_TIME)
+        answer = harness.send_request()
+        assert answer.status == 503
+        assert b"Retry-After" in dict(answer.headers)
+        assert harness.tried_upstreams() == []
+    assert harness.send_request().status == 200
+
+
+@pytest.mark.parametrize("kind", [RouteKind.SAFE, RouteKind.UNSAFE])
+def test_other_requests_are_served_while_answers_use_all_memory(kind):
+    harness = HandlerHarness(Answered(make_answer()), kind=kind)
+    memory_limit = harness.answer_memory_limit
+    with memory_limit.hold_complete(memory_limit.limit + 1):
+        harness.clock.advance(CONGESTION_TIME)
+        assert harness.send_request().status == 200
+
+
 def test_request_is_answered_at_its_timeout():
     harness = HandlerHarness(TIMED_OUT, timeout=1_200.0)
     started = harness.clock.now()
