--- a/lagoonlatch/upstreams/http.py
+++ b/lagoonlatch/upstreams/http.py
@@ -42,6 +42,9 @@
 
 _BLOCK_SIZE = 65_536
 
+_PARSED_SIZE = 4_096
+"""Bytes of an answer that are parsed before other greenlets may run."""
+
 
 class Exchange:
     """One request on one connection, done by one greenlet.
@@ -116,7 +119,7 @@
         connection.shut_down(socket.SHUT_WR)
         confirmed = self._confirmed
         if not confirmed and not self._stopped_waiting:
-            confirmed = _drained(connection)
+            confirmed = self._drain(connection)
         self._pool.discard(connection)
         return confirmed
 
@@ -125,6 +128,21 @@
         if self._connection is not None:
             self._drop()
 
+    def _drain(self, connection: Connection) -> bool:
+        """Return whether the upstream ends the connection in time."""
+        until = self._clock.now() + CONFIRM_TIMEOUT
+        try:
+            while (left := until - self._clock.now()) > 0.0:
+                connection.sock.settimeout(left / MILLIS_PER_SECOND)
+                if not connection.sock.recv(_BLOCK_SIZE):
+                    return True
+                gevent.sleep(0)
+        except TimeoutError:
+            return False
+        except OSError:
+            return True
+        return False
+
     def _leave_unused(self, acquired) -> UpstreamOutcome:
         if isinstance(acquired, Success):
             self._pool.release(acquired.unwrap())
@@ -178,7 +196,8 @@
                 if not data:
                     self._confirmed = not self._stopped_waiting
                     return self._fail(answer.reason_when_closed())
-                answer.feed(data)
+                if not self._parse(answer, data):
+                    return self._fail(UnknownReason.TIMED_OUT)
         except TimeoutError as error:
             return self._fail(_reason_of(error))
         except HTTPParseError:
@@ -188,6 +207,21 @@
             return self._fail(answer.reason_when_closed())
         return self._judge(answer, connection)
 
+    def _parse(self, answer: BoundedResponse, data: bytes) -> bool:
+        """Parse bytes of an answer; return False if its time has run out."""
+        for start in range(0, len(data), _PARSED_SIZE):
+            if answer.final:
+                answer.surplus = True
+                return True
+            answer.feed(data[start : start + _PARSED_SIZE])
+            if not answer.final:
+                # Data may arrive faster than they are read, so that reading never
+                # waits.
+                gevent.sleep(0)
+                if self._clock.now() >= self.until:
+                    return False
+        return True
+
     def _judge(self, answer: BoundedResponse, connection: Connection):
         if answer.too_large:
             return self._fail(UnknownReason.TOO_LARGE)
@@ -230,15 +264,3 @@
     """Tell our own timeout from the kernel's, which got no acknowledgement."""
     unacknowledged = error.errno == errno.ETIMEDOUT
     return UnknownReason.SILENT if unacknowledged else UnknownReason.TIMED_OUT
-
-
-def _drained(connection: Connection) -> bool:
-    connection.sock.settimeout(CONFIRM_TIMEOUT / MILLIS_PER_SECOND)
-    try:
-        while connection.sock.recv(_BLOCK_SIZE):
-            pass
-    except TimeoutError:
-        return False
-    except OSError:
-        return True
-    return True
--- a/lagoonlatch/upstreams/messages.py
+++ b/lagoonlatch/upstreams/messages.py
@@ -4,7 +4,7 @@
 
 import re
 
-from geventhttpclient.response import HTTPResponse
+from geventhttpclient.response import HEADER_STATE_FIELD, HTTPResponse
 from returns.result import Failure, Success
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Millis
@@ -21,6 +21,11 @@
 
 DEFAULT_RETRY_AFTER: Millis = 1_000.0
 
+MAX_FIELDS = 256
+MAX_FIELDS_LENGTH = 64 * 1024
+"""Limits of the header fields of an answer: their number, and the characters of all
+names and values."""
+
 _REFUSED_STATUS = 503
 _FIRST_FINAL_STATUS = 200
 _METHOD = re.compile(r"[A-Z]{1,32}")
@@ -28,12 +33,14 @@
 
 
 class BoundedResponse(HTTPResponse):
-    """Parses one answer; notes a body above the limit and bytes beyond the end."""
+    """Parses one answer; notes a part above its limit and bytes beyond the end."""
 
     def __init__(self, method: str, largest_body: int) -> None:
         super().__init__(method=method)
         self._largest_body = largest_body
         self._received = False
+        self._field_count = 0
+        self._fields_length = 0
         self.final = False
         self.surplus = False
         self.too_large = False
@@ -58,6 +65,23 @@
         else:
             super()._on_message_begin()
 
+    def _on_header_field(self, string):
+        # The name of a field may come in several parts.
+        self._field_count += self._header_state != HEADER_STATE_FIELD
+        super()._on_header_field(string)
+        self._limit_fields(len(string))
+
+    def _on_header_value(self, string):
+        super()._on_header_value(string)
+        self._limit_fields(len(string))
+
+    def _limit_fields(self, length: int) -> None:
+        """Count fields of the head, of interim answers and of trailers."""
+        self._fields_length += length
+        if self._field_count > MAX_FIELDS or self._fields_length > MAX_FIELDS_LENGTH:
+            self.too_large = True
+            self.final = True
+
     def _on_body(self, buf):
         if self.surplus:
             return
