Ignore changes of statements that a VM's earlier run had been told

Cause: a VM states to another one only what changed since the version that the other has confirmed. A VM that had not yet heard of the replacement sent such changes to the new process at the same address. `Source.apply` took them for all statements and confirmed their version, so that the statements before were never sent again. A VM of another data centre of which nothing had changed stayed unseen, unless one of the two exchanged heartbeats directly.

Ruled out: the platform's list (out in the test) and addresses (unchanged).

Evidence: test_replaced_vm_hears_of_vms_that_its_predecessor_had_heard_of, on virtual time, failed before for two of twelve VMs (sul-1-2, centro-2-2).

Change: until a VM has received all statements of another's run once, changes are ignored. The confirmed version stays 0, so the sender sends all.

--- a/lagoonlatch/membership/statements.py
+++ b/lagoonlatch/membership/statements.py
@@ -86,13 +86,17 @@
     def apply(self, heartbeat: Heartbeat, receiver: Member) -> None:
         """Take in what a heartbeat states and confirms.
 
-        An answer that was overtaken by a later one changes no statement.
+        An answer that was overtaken by a later one changes no statement. Changes are
+        ignored until all statements have been received once: they follow what the
+        sender stated to an earlier run of the receiver.
         """
         knows_receiver = heartbeat.known_incarnation == receiver.incarnation
         self.acknowledged = heartbeat.known_version if knows_receiver else 0
         self.ownership_digest = heartbeat.ownership_digest
         if heartbeat.members_version < self.version:
             return
+        if not self.version and not heartbeat.members_whole:
+            return
         if heartbeat.members_whole:
             self.alive.clear()
         for member in heartbeat.members:
--- a/tests/membership/test_membership.py
+++ b/tests/membership/test_membership.py
@@ -8,6 +8,7 @@
 from lagoonlatch.platform.store import VmState
 from tests.membership.network import (
     PORT,
+    REGIONS,
     Network,
     VmStatus,
     alive_ids,
@@ -20,6 +21,8 @@
 # hops: between watchers, to the watchers of other data centres, to their VMs.
 DETECTED = 8
 
+DATA_CENTRES = [f"{region}-{n}" for region in REGIONS for n in (1, 2)]
+
 
 @pytest.fixture
 def network():
@@ -183,6 +186,23 @@
     assert everyone_sees(network, set(network.vms_by_id))
 
 
+@pytest.mark.parametrize("vm", [f"{d}-{n}" for d in DATA_CENTRES for n in (1, 2)])
+def test_replaced_vm_hears_of_vms_that_its_predecessor_had_heard_of(network, vm):
+    """A heartbeat for the earlier run, with changes only, may come first."""
+    fleet(network)
+    network.rounds(SETTLED)
+    network.vm_list.out = True
+    network.vm_list.vms_by_id.clear()
+    old = network.stop(vm).member
+    seed = next(iter(network.vms_by_id.values())).member
+    network.start(
+        vm, old.address, old.data_centre, old.region, seeds=((seed.address, PORT),)
+    )
+    network.rounds(1, skip=set(network.vms_by_id) - {vm, seed.vm})
+    network.rounds(DETECTED)
+    assert everyone_sees(network, set(network.vms_by_id))
+
+
 def test_paused_vm_suspects_nobody_when_it_wakes(network):
     fleet(network, 3)
     network.rounds(SETTLED)
