Don't count a crash of an upstream that may have been down before a request

A request that a tenant's clients all send is retried at one after the other over kept connections, each falls silent for 0.8 s, and the health check fails. Three such upstreams in the request's order were counted as three crashes, one after the other, and all VMs refused the request for a minute.

Cause: a crash counted if the request was sent after the previous one. For a connection that the upstream's host ends this shows that the upstream was up then; for silence it shows nothing.

Change: `Unknown.heard_at` tells when an upstream that has fallen silent was last heard on the connection. The crash counts only if that was after the previous crash that counts. Connections that are reset or closed count as before, so a request that crashes each upstream that runs it is still refused.

Evidence: the test in tests/entry/test_attempts.py counted 4 before and 1 now; resets still count 4.

--- a/lagoonlatch/entry/attempts.py
+++ b/lagoonlatch/entry/attempts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 
 import gevent
 
@@ -183,8 +184,17 @@
                 if answer is not None:
                     self._update_load(upstream, answer)
                     self._notices.handle_answer(upstream, answer, started)
-            case Unknown(kind=FailureKind.RESET | FailureKind.CLOSED, reason=reason):
+            case Unknown(
+                kind=FailureKind.RESET | FailureKind.CLOSED,
+                reason=reason,
+                heard_at=heard_at,
+            ):
                 upstream.note_failure()
+                if heard_at is not None:
+                    # It may have been down already when the request was sent.
+                    possible_crash = replace(
+                        possible_crash, sent_at=min(started, heard_at)
+                    )
                 if not self._pool.has_open(upstream.record):
                     self._prober.suspect(
                         upstream,
--- a/lagoonlatch/entry/exchange.py
+++ b/lagoonlatch/entry/exchange.py
@@ -64,6 +64,7 @@
         self._memory_limit = memory_limit
         self._clock = clock
         self._idle_since = clock.now()
+        self._heard_at = clock.now()
         self._keep_alive = DEFAULT_KEEP_ALIVE
         self.is_reusable = True
 
@@ -137,7 +138,9 @@
         except TimeoutError as error:
             self.is_reusable = False
             if error.errno == errno.ETIMEDOUT:
-                return Unknown(FailureKind.RESET, "peer acknowledges nothing")
+                return Unknown(
+                    FailureKind.RESET, "peer acknowledges nothing", self._heard_at
+                )
             return Unknown(FailureKind.OUT_OF_TIME, "no whole answer in time")
         except OSError as error:
             self.is_reusable = False
@@ -194,6 +197,7 @@
                 )
                 self._sock.settimeout(self._seconds_until(deadline))
                 data = self._sock.recv(_CHUNK_BYTES)
+                self._heard_at = self._clock.now()
                 if not data:
                     self.is_reusable = False
                     if parser.their_state is h11.SEND_RESPONSE:
--- a/lagoonlatch/entry/messages.py
+++ b/lagoonlatch/entry/messages.py
@@ -132,10 +132,18 @@
 
 @dataclass(frozen=True)
 class Unknown:
-    """The request may have run, but there is no usable answer."""
+    """The request may have run, but there is no usable answer.
+
+    Parameters
+    ----------
+    heard_at : Millis or None
+        When the upstream was last heard on the connection, if it has fallen silent;
+        None if it ended the connection or sent something unusable.
+    """
 
     kind: FailureKind
     reason: str
+    heard_at: Millis | None = None
 
 
 Outcome = Answered | NotRun | Unknown
--- a/lagoonlatch/steering/crashes.py
+++ b/lagoonlatch/steering/crashes.py
@@ -5,7 +5,8 @@
 VMs noticed it. Upstreams may also crash together for another reason, such as a loss of
 power, while a harmless request is running at several of them. A crash therefore counts
 against a request only if the request was sent to that upstream after the previous crash
-that counts.
+that counts. An upstream that falls silent may have been down before, so the time at
+which it was last heard decides instead.
 
 At `CRASH_LIMIT` the request is refused for a time that doubles with each further crash.
 After that time each VM lets one request at a time run: it either crashes the upstream,
@@ -53,7 +54,8 @@
     born : float
         Start of the run that crashed, as the upstream states it.
     sent_at : Millis
-        When the first of the equal requests that the crash ended was sent.
+        When the first of the equal requests that the crash ended was sent, or when the
+        upstream was last heard before it fell silent.
     ended_at : Millis
         When the crash was first noticed.
     """
--- a/tests/entry/test_attempts.py
+++ b/tests/entry/test_attempts.py
@@ -27,6 +27,8 @@
     method=b"GET", target=b"/", headers=[], body=b"", has_body=False, request_id=b"r1"
 )
 
+SILENCE_MS = 800.0
+
 
 class ScriptedConnection:
     """Answers each request with the status and fields of the harness."""
@@ -41,6 +43,10 @@
         if self._harness.answer == "reset":
             self.is_reusable = False
             return Unknown(FailureKind.RESET, "reset")
+        if self._harness.answer == "silence":
+            self.is_reusable = False
+            self._harness.clock.advance(SILENCE_MS)
+            return Unknown(FailureKind.RESET, "silent", self._harness.last_heard_at)
         status, fields = self._harness.answer
         answer = UpstreamAnswer(
             status=status,
@@ -109,6 +115,7 @@
         self.prober = FakeProber()
         self.quarantine = CrashQuarantine(self.clock)
         self.answer = (200, [])
+        self.last_heard_at = self.clock.now()
         self.pool = ScriptedPool(self)
         self.attempts = AttemptRunner(
             self.upstream_table,
@@ -271,6 +278,38 @@
     assert harness.quarantine.admit("f") == 0.0
 
 
+def crash_in_turn(harness, answer):
+    """Let a request end at four upstreams, one after the other."""
+    harness.answer = answer
+    for number in range(4):
+        name = f"i-{number}"
+        harness.upstream_table.put(make_record(name), was_running=True)
+        harness.upstream = harness.upstream_table.find(name)
+        harness.run()
+        harness.prober.fail_checks()
+        harness.clock.advance(1.0)
+    return harness.quarantine.count("f")
+
+
+def test_request_is_not_suspected_of_upstreams_that_lost_power_together(harness):
+    """A tenant whose requests are all equal must not be refused for a lost zone."""
+    assert crash_in_turn(harness, "silence") == 1
+
+
+def test_request_that_ends_one_upstream_after_the_other_is_suspected(harness):
+    assert crash_in_turn(harness, "reset") == 4
+
+
+def test_request_that_silences_upstreams_heard_since_the_last_is_suspected(harness):
+    assert crash_in_turn(harness, "silence") == 1
+    harness.last_heard_at = harness.clock.now()
+    harness.upstream_table.put(make_record("i-9"), was_running=True)
+    harness.upstream = harness.upstream_table.find("i-9")
+    harness.run()
+    harness.prober.fail_checks()
+    assert harness.quarantine.count("f") == 2
+
+
 def test_crash_of_the_next_run_is_another_crash(harness):
     harness.answer = "reset"
     for born in (1.0, 2.0):
--- a/tests/entry/test_exchange.py
+++ b/tests/entry/test_exchange.py
@@ -1,5 +1,6 @@
 """Upstream connections with complete, incomplete, malformed and missing answers."""
 
+import errno
 from dataclasses import replace
 
 import gevent
@@ -43,6 +44,19 @@
 )
 
 
+class _SilentSocket:
+    """A socket whose peer acknowledges nothing any more."""
+
+    def __init__(self, sock):
+        self._sock = sock
+
+    def recv(self, _size):
+        raise TimeoutError(errno.ETIMEDOUT, "timed out")
+
+    def __getattr__(self, name):
+        return getattr(self._sock, name)
+
+
 @pytest.fixture
 def start_upstream():
     """Return a function that starts a scripted upstream and connects to it."""
@@ -325,3 +339,15 @@
     _, connection = start_upstream(send_answer(REFUSAL + REFUSAL))
     assert isinstance(connection.exchange(REQUEST, 1_000.0), NotRun)
     assert not connection.is_reusable
+
+
+def test_silent_upstream_was_last_heard_before_the_request(start_upstream):
+    """Its crash is no evidence against a request that it has not acknowledged."""
+    _, connection = start_upstream(send_answer(OK))
+    assert isinstance(connection.exchange(REQUEST, 1_000.0), Answered)
+    gevent.sleep(0.02)
+    sent_at = Clock().now()
+    connection._sock = _SilentSocket(connection._sock)
+    outcome = connection.exchange(REQUEST, 1_000.0)
+    assert outcome.kind is FailureKind.RESET
+    assert 0.0 < sent_at - outcome.heard_at < 1_000.0
