--- a/tests/properties/test_rate_limits.py
+++ b/tests/properties/test_rate_limits.py
@@ -1,7 +1,7 @@
 """An upstream's rate limit holds over all VMs, and is used, on virtual time."""
 
 import pytest
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from tests.steering.limited_fleet import FAULTS, LimitedFleet, play
@@ -15,6 +15,7 @@
 
 @pytest.mark.parametrize("count", SIZES)
 @CHECKED
+@example(rate=23.0, seed=0, fault="home_cut_off", loss=0.02)
 @given(
     rate=RATES,
     seed=SEEDS,
