Make the planted choice of cold senders exceed its bound clearly

Cause: the plays of the planted fault exceeded the bound by too little.

Change: fourteen VMs and a cold rate of one a second, of which the rule allows 6.5 in a second. Each VM that takes itself for the only sender sends one request at once. The oracle's bound is unchanged, and the play without the plant stays as it was.

--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -89,7 +89,9 @@
 
 def test_vms_that_ignore_others_without_an_entry_are_found():
     """After an outage in which leases ended, no VM has an entry for a while."""
-    verdict = play(7, 8_000.0, planted="cold_senders_by_entry", **LAPSE)
+    # Each VM sends a request at once, which alone exceeds what so low a rate allows.
+    disturbance = {**LAPSE, "vms": 14, "cold_rate": 1.0}
+    verdict = play(7, 8_000.0, planted="cold_senders_by_entry", **disturbance)
     assert any("was cold" in problem for problem in verdict.problems)
 
 
