--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -683,6 +683,32 @@
         lines += [f"{name}: {value}" for name, value in fields.items()]
         self._writer.write("\r\n".join([*lines, "", ""]).encode("latin-1") + body)
 
+    async def send_paced(
+        self,
+        method: str,
+        target: str,
+        headers: dict[str, str],
+        body: bytes,
+        bytes_per_s: float,
+    ) -> None:
+        """Send a request whose body goes out at a steady pace.
+
+        Raises
+        ------
+        ConnectionError
+            If the connection is closed meanwhile.
+        """
+        fields = {"Host": HOST, **headers, "Content-Length": str(len(body))}
+        lines = [f"{method} {target} HTTP/1.1"]
+        lines += [f"{name}: {value}" for name, value in fields.items()]
+        self._writer.write("\r\n".join([*lines, "", ""]).encode("latin-1"))
+        started, view = time.monotonic(), memoryview(body)
+        for begin in range(0, len(body), 2**18):
+            self._writer.write(bytes(view[begin : begin + 2**18]))
+            await self._writer.drain()
+            ahead = begin / bytes_per_s - (time.monotonic() - started)
+            await asyncio.sleep(max(ahead, 0.0))
+
     async def receive(self) -> Answer | None:
         """Return the next whole answer, or None if the connection ends before it."""
         head = await read_head(self._reader)
