Stop the handling of a request when its caller leaves during an attempt

Clients of an unsafe route closed their connections while their requests were at an upstream or, after it had turned them away, waited for another one.

Cause: a request knew of its caller only by a flag, may_cancel. The connection read it once, when it found the close, and then killed the request's greenlet or left it alone for good. The first attempt of an unsafe request set the flag to False. So a close during the attempt, when nothing may be interrupted, was forgotten, and one after it was ignored.

Ruled out: the wait queue and the home VM (a request that is cancelled before its first attempt left both before this change too).

Change: each request has a CancellationToken. The connection cancels it, and the token remembers. The handling asks before each attempt, in each wait (slot, claim, loan, connection) and right before the first byte, and only those waits are interrupted, so that the answer to a request that may run once is still read. Idempotent requests are broken off at the upstream as before; that counts as the outcome "caller-left" and no longer depends on killing the greenlet. The exception can't reach a later wait: a kill that was scheduled before the request went on could break off one that had just been sent.

Such a request ends with the status 499 and the reason "caller left" in logs and metrics; before it left no line. Its slot and its token of the allowance are given back unless it reached an upstream; the token was lost before.

Two tests of the connection set may_cancel; they now let the handler wait inside or outside of `interruptible` and check the same.

--- a/lagoonlatch/entry/attempts.py
+++ b/lagoonlatch/entry/attempts.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections.abc import Callable
 from dataclasses import replace
 
 import gevent
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
+from lagoonlatch.entry.cancellation import CallerLeftError
 from lagoonlatch.entry.events import AttemptFailed, RequestQuarantined, UpstreamGone
 from lagoonlatch.entry.journal import emit
 from lagoonlatch.entry.messages import (
@@ -34,6 +36,8 @@
 
 _FIRST_SERVER_ERROR = 500
 
+_CALLER_LEFT_REASON = "the caller has left"
+
 
 class AttemptRunner:
     """Sends requests to upstreams over pooled connections.
@@ -108,7 +112,10 @@
             self._prober.suspect(upstream, "closed kept connections")
             return NotRun("upstream under suspicion", reached=False)
         try:
-            connection = self._pool.acquire(upstream.record, time_left)
+            with request.cancellation.interruptible():
+                connection = self._pool.acquire(upstream.record, time_left)
+        except CallerLeftError:
+            return NotRun(_CALLER_LEFT_REASON, reached=False)
         except OSError as error:
             reason = error.strerror or type(error).__name__
             self._prober.suspect(upstream, f"no connection: {reason}")
@@ -121,12 +128,22 @@
         if is_late and upstream.rate_limit is not None:
             self._pool.release(upstream.record, connection)
             return NotRun("connected too long after the grant", reached=False)
+        if request.cancellation.is_cancelled:
+            self._pool.release(upstream.record, connection)
+            return NotRun(_CALLER_LEFT_REASON, reached=False)
+        break_off_scope = (
+            request.cancellation.interruptible()
+            if request.is_idempotent
+            else contextlib.nullcontext()
+        )
         timer = gevent.Timeout(
             max(deadline - self._clock.now(), 1.0) / MILLIS_PER_SECOND
         )
         try:
-            with timer:
+            with timer, break_off_scope:
                 outcome = connection.exchange(request, deadline - self._clock.now())
+        except CallerLeftError:
+            return Unknown(FailureKind.CALLER_LEFT, _CALLER_LEFT_REASON)
         except gevent.Timeout as error:
             if error is not timer:
                 raise
@@ -201,6 +218,9 @@
                         reason,
                         lambda: self._record_crash(fingerprint, possible_crash),
                     )
+            case Unknown(kind=FailureKind.CALLER_LEFT):
+                # This VM has closed the connection, so it says nothing of the upstream.
+                pass
             case Unknown():
                 upstream.note_failure()
 
--- a/lagoonlatch/entry/connection.py
+++ b/lagoonlatch/entry/connection.py
@@ -391,12 +391,11 @@
             gevent.sleep(0)
 
     def _cancel_requests(self) -> None:
-        """Stop the handling of requests whose answers nobody waits for."""
+        """Cancel the requests whose answers nobody waits for."""
         for pending in list(self._pending_requests):
-            request = pending.request
-            if pending.greenlet is not None and (request is None or request.may_cancel):
-                pending.greenlet.kill(block=False)
-            # A request that may not be cancelled must not wait for one that was.
+            if pending.request is not None:
+                pending.request.cancellation.cancel()
+            # Answers that are ready must not wait for those of cancelled requests.
             pending.answered.set()
 
 
--- a/lagoonlatch/entry/handling.py
+++ b/lagoonlatch/entry/handling.py
@@ -13,6 +13,7 @@
 from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
 from lagoonlatch.entry.answer_memory import AnswerMemoryLimit
 from lagoonlatch.entry.attempts import AttemptRunner
+from lagoonlatch.entry.cancellation import CallerLeftError
 from lagoonlatch.entry.events import RequestEnded
 from lagoonlatch.entry.facts import Facts
 from lagoonlatch.entry.journal import emit
@@ -62,6 +63,9 @@
 """Delay after which a caller retries a download for whose answer this VM has no memory;
 its next connection probably leads to another VM."""
 
+CALLER_LEFT_STATUS = 499
+"""Stands in logs and metrics for the answer to a caller that has left; never sent."""
+
 _RETRIED_STATUSES = frozenset({500, 502, 503, 504})
 
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -152,7 +156,7 @@
         try:
             self._offered.wait(timeout=timeout / MILLIS_PER_SECOND)
         finally:
-            # This also frees the slot if the caller left and this task was killed.
+            # This also frees the slot if the caller left and the wait was interrupted.
             if self._offered.value is not None:
                 self._offered.value.in_flight -= 1
         if self._offered.ready() and self._offered.value is None:
@@ -222,7 +226,10 @@
         self._has_waiting_requests.wait()
 
     def handle(self, request: CallerRequest) -> CallerAnswer:
-        """Return the final answer to a request."""
+        """Return the final answer to a request.
+
+        If the caller has left, the answer has the status `CALLER_LEFT_STATUS`.
+        """
         rules = self._facts.rules
         if self._is_closed:
             reason = "the VM is about to end"
@@ -275,8 +282,25 @@
             return self._give_up(context, "quarantined", remaining_quarantine)
         if route.kind is RouteKind.DOWNLOAD and self._answer_memory_limit.is_congested:
             return self._give_up(context, "no memory", ANSWER_MEMORY_RETRY_DELAY)
+        try:
+            return self._serve_admitted(context)
+        except CallerLeftError:
+            self._finish(context, CALLER_LEFT_STATUS, "caller left")
+            return CallerAnswer(status=CALLER_LEFT_STATUS)
+
+    def _serve_admitted(self, context: _RequestContext) -> CallerAnswer:
+        """Serve a request unless it is over its organisation's allowance.
+
+        Raises
+        ------
+        CallerLeftError
+            If the caller leaves before the request has been sent to an upstream, or
+            before the answer to an idempotent one.
+        """
+        organisation = context.organisation
         if organisation is not None:
-            retry_delay = self._consume_token(organisation.id)
+            with context.request.cancellation.interruptible():
+                retry_delay = self._consume_token(organisation.id)
             if retry_delay is not None:
                 self._finish(context, HTTPStatus.TOO_MANY_REQUESTS, "over allowance")
                 return CallerAnswer(
@@ -284,10 +308,11 @@
                     headers=[retry_after(retry_delay)],
                 )
         self._retry_budget.note_request(context.service)
-        answer = self._run_attempts(context)
-        if organisation is not None and not context.attempts:
-            self._allowances.refund(organisation.id)
-        return answer
+        try:
+            return self._run_attempts(context)
+        finally:
+            if organisation is not None and not context.attempts:
+                self._allowances.refund(organisation.id)
 
     def _consume_token(self, organisation: str) -> Millis | None:
         """Consume a token; return None, or a retry delay if the allowance is spent."""
@@ -298,6 +323,7 @@
 
     def _run_attempts(self, context: _RequestContext) -> CallerAnswer:
         while True:
+            context.request.cancellation.check()
             time_left = context.deadline - self._clock.now()
             if time_left <= 0.0:
                 return self._give_up(context, "out of time")
@@ -308,7 +334,7 @@
                 answer = self._run_attempt(context, upstream)
             finally:
                 self._slot_client.release(upstream)
-            self._waiting_queue.offer_slots()
+                self._waiting_queue.offer_slots()
             if answer is not None:
                 return answer
 
@@ -403,15 +429,18 @@
                 expected = self._expected_wait(context.route, candidates)
                 if expected > max_wait - waited or waited >= max_wait:
                     return None
-                upstream = self._await_offer(
-                    ticket, request_priority, candidates, waited, max_wait
-                )
+                with context.request.cancellation.interruptible():
+                    upstream = self._await_offer(
+                        ticket, request_priority, candidates, waited, max_wait
+                    )
             if upstream is None:
                 return None
             waited = self._clock.now() - started
-            if self._slot_client.claim(
-                upstream, request_priority.key(), ticket, waited
-            ):
+            with context.request.cancellation.interruptible():
+                is_granted = self._slot_client.claim(
+                    upstream, request_priority.key(), ticket, waited
+                )
+            if is_granted:
                 return upstream
 
     def _expected_wait(self, route: Route, candidates: Candidates) -> Millis:
@@ -471,7 +500,6 @@
         self, context: _RequestContext, upstream: UpstreamState, time_left: Millis
     ) -> CallerAnswer | None:
         """Try one upstream; return the final answer, or None to try another."""
-        context.request.may_cancel = context.route.is_idempotent
         context.tried.add(upstream.record.id)
         upstream.note_object(context.object_name())
         outcome = self._attempt_runner.run(
@@ -488,9 +516,12 @@
             case Answered(answer):
                 return self._handle_answer(context, answer)
             case NotRun():
+                context.request.cancellation.check()
                 if context.attempts < max(context.route.max_attempts, 1):
                     return None
                 return self._give_up(context, "turned away")
+            case Unknown(kind=FailureKind.CALLER_LEFT):
+                raise CallerLeftError
             case Unknown(kind=kind):
                 context.may_have_run = True
                 if self._may_retry(context) and kind is not FailureKind.OUT_OF_TIME:
@@ -649,6 +680,8 @@
         body=request.body,
         has_body=request.has_body,
         request_id=request.fields.request_id,
+        is_idempotent=context.route.is_idempotent,
+        cancellation=request.cancellation,
     )
 
 
--- a/lagoonlatch/entry/messages.py
+++ b/lagoonlatch/entry/messages.py
@@ -6,6 +6,7 @@
 from enum import Enum
 
 from lagoonlatch.clock import Millis
+from lagoonlatch.entry.cancellation import CancellationToken
 from lagoonlatch.platform.headers import AnswerFields, HeaderList, RequestFields
 
 CONNECTION_FIELDS = frozenset(
@@ -38,8 +39,8 @@
         Fields with their names as the caller sent them.
     received : Millis
         Time at which the header was complete.
-    may_cancel : bool
-        Whether its handling may be stopped when the caller disconnects.
+    cancellation : CancellationToken
+        Is cancelled when the caller closes the connection.
     """
 
     method: bytes
@@ -50,7 +51,7 @@
     has_body: bool
     fields: RequestFields
     received: Millis
-    may_cancel: bool = True
+    cancellation: CancellationToken = field(default_factory=CancellationToken)
 
     @property
     def path(self) -> str:
@@ -69,7 +70,15 @@
 
 @dataclass(frozen=True, kw_only=True)
 class UpstreamRequest:
-    """A request as sent to an upstream."""
+    """A request as sent to an upstream.
+
+    Parameters
+    ----------
+    is_idempotent : bool
+        Whether the request is broken off at the upstream when its caller leaves.
+    cancellation : CancellationToken
+        Is cancelled when the caller leaves.
+    """
 
     method: bytes
     target: bytes
@@ -77,6 +86,8 @@
     body: bytes
     has_body: bool
     request_id: bytes
+    is_idempotent: bool = False
+    cancellation: CancellationToken = field(default_factory=CancellationToken)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -128,6 +139,7 @@
     CLOSED = "closed"
     MALFORMED = "spoilt"
     OUT_OF_TIME = "out-of-time"
+    CALLER_LEFT = "caller-left"
 
 
 @dataclass(frozen=True)
--- a/tests/entry/test_attempts.py
+++ b/tests/entry/test_attempts.py
@@ -2,10 +2,13 @@
 
 from dataclasses import replace
 
+import gevent
 import pytest
+from gevent.event import Event
 
 from lagoonlatch.entry.answer_memory import AnswerMemoryLimit
 from lagoonlatch.entry.attempts import GRANT_LIFETIME, AttemptRunner
+from lagoonlatch.entry.cancellation import CancellationToken
 from lagoonlatch.entry.messages import (
     Answered,
     FailureKind,
@@ -40,6 +43,7 @@
 
     def exchange(self, request, _time_left):
         self._harness.sent.append(request)
+        self._harness.may_answer.wait()
         if self._harness.answer == "reset":
             self.is_reusable = False
             return Unknown(FailureKind.RESET, "reset")
@@ -115,6 +119,8 @@
         self.prober = FakeProber()
         self.quarantine = CrashQuarantine(self.clock)
         self.answer = (200, [])
+        self.may_answer = Event()
+        self.may_answer.set()
         self.last_heard_at = self.clock.now()
         self.pool = ScriptedPool(self)
         self.attempts = AttemptRunner(
@@ -134,8 +140,8 @@
             self.clock,
         )
 
-    def run(self):
-        return self.attempts.run(self.upstream, REQUEST, 1_000.0, "route", "f")
+    def run(self, request=REQUEST):
+        return self.attempts.run(self.upstream, request, 1_000.0, "route", "f")
 
 
 @pytest.fixture
@@ -166,6 +172,65 @@
     assert harness.sent == []
 
 
+CALLER_LEFT = "the caller has left"
+
+
+def make_cancellable(is_idempotent):
+    return replace(
+        REQUEST, is_idempotent=is_idempotent, cancellation=CancellationToken()
+    )
+
+
+@pytest.mark.parametrize("is_idempotent", [False, True])
+@pytest.mark.parametrize("moment", ["before", "while connecting"])
+def test_nothing_is_sent_for_a_caller_that_has_left(harness, is_idempotent, moment):
+    request = make_cancellable(is_idempotent)
+    if moment == "before":
+        request.cancellation.cancel()
+    else:
+        harness.pool.on_open = request.cancellation.cancel
+    assert harness.run(request) == NotRun(CALLER_LEFT, reached=False)
+    assert harness.sent == []
+    assert not harness.upstream.is_suspect
+    assert all(connection.is_open for connection in harness.pool.opened)
+
+
+def test_connection_that_opens_slowly_is_not_awaited_after_the_caller_left(harness):
+    request = make_cancellable(False)
+    harness.pool.on_open = Event().wait
+    task = gevent.spawn(harness.run, request)
+    gevent.sleep(0)
+    request.cancellation.cancel()
+    assert task.get(timeout=1.0) == NotRun(CALLER_LEFT, reached=False)
+    assert not harness.upstream.is_suspect
+
+
+def test_idempotent_request_is_broken_off_when_its_caller_leaves(harness):
+    """The upstream is sound, so nothing may count against it."""
+    request = make_cancellable(True)
+    harness.may_answer.clear()
+    failures = []
+    harness.upstream.note_failure = lambda: failures.append("failure")
+    task = gevent.spawn(harness.run, request)
+    gevent.sleep(0)
+    request.cancellation.cancel()
+    assert task.get(timeout=1.0) == Unknown(FailureKind.CALLER_LEFT, CALLER_LEFT)
+    assert failures == []
+    assert not harness.upstream.is_suspect
+
+
+def test_request_that_may_run_only_once_goes_on_after_its_caller_left(harness):
+    request = make_cancellable(False)
+    harness.may_answer.clear()
+    task = gevent.spawn(harness.run, request)
+    gevent.sleep(0)
+    request.cancellation.cancel()
+    gevent.sleep(0.01)
+    assert not task.ready()
+    harness.may_answer.set()
+    assert isinstance(task.get(timeout=1.0), Answered)
+
+
 LEAVING_FIELDS = [(b"server-leaving", b"1")]
 REST_FIELDS = [(b"not-run", b"1"), (b"retry-after", b"2.5")]
 
--- a/tests/entry/test_connection.py
+++ b/tests/entry/test_connection.py
@@ -22,10 +22,17 @@
 
 
 class EchoHandler:
-    """Answers with the target and body, once `may_answer` is set."""
+    """Answers with the target and body, once `may_answer` is set.
+
+    Attributes
+    ----------
+    is_interruptible : bool
+        Whether the wait for `may_answer` ends when the caller leaves.
+    """
 
     def __init__(self):
         self.requests = []
+        self.is_interruptible = True
         self.may_answer = Event()
         self.may_answer.set()
         self.delays = {}
@@ -33,7 +40,11 @@
 
     def handle(self, request):
         self.requests.append(request)
-        self.may_answer.wait()
+        if self.is_interruptible:
+            with request.cancellation.interruptible():
+                self.may_answer.wait()
+        else:
+            self.may_answer.wait()
         gevent.sleep(self.delays.get(request.target, 0.0))
         self.answered_targets.append(request.target)
         return CallerAnswer(
@@ -255,14 +266,15 @@
     assert session.handler.answered_targets == []
 
 
-def test_handling_that_may_not_be_cancelled_continues():
+def test_handling_that_may_not_be_interrupted_continues():
     session = Session()
+    session.handler.is_interruptible = False
     session.handler.may_answer.clear()
     session.send(GET % (1, 1))
     gevent.sleep(0.05)
-    session.handler.requests[0].may_cancel = False
     session.caller.close()
     session.task.join(1.0)
+    assert session.handler.requests[0].cancellation.is_cancelled
     session.handler.may_answer.set()
     gevent.sleep(0.05)
     assert session.handler.answered_targets == [b"/a/1"]
@@ -469,10 +481,12 @@
 def test_request_behind_a_cancelled_one_ends_when_the_caller_disconnects():
     session = Session()
     session.handler.may_answer.clear()
-    session.send((GET % (1, 1)) + (GET % (2, 2)))
+    session.send(GET % (1, 1))
+    gevent.sleep(0.05)
+    session.handler.is_interruptible = False
+    session.send(GET % (2, 2))
     gevent.sleep(0.05)
     last = session.connection._pending_requests[-1]
-    last.request.may_cancel = False
     session.caller.close()
     gevent.sleep(0.05)
     session.handler.may_answer.set()
