Notice the close of a connection that isn't being read

What callers saw: a caller with 16 requests or more ahead on one connection left, and all 16 were sent to upstreams as slots became free. The same held for requests ahead of one that waits to be asked for its body (Expect: 100-continue).

Cause: a close is found by a read, and the connection reads nothing while it handles MAX_PIPELINED_REQUESTS requests, nor until it may send the interim answer. Behind unread bytes a read wouldn't find the close either.

Change: both waits check the state of the TCP connection every 100 ms, which shows a FIN or a reset behind unread bytes. Other waits of the reader are reads: while requests wait, while answers are written to a slow caller, while the last answer is awaited, while the VM stops.

A close is only noticed once it has reached the VM. A caller that has sent more than the receive buffer takes in closes behind those bytes.

--- a/lagoonlatch/entry/connection.py
+++ b/lagoonlatch/entry/connection.py
@@ -30,6 +30,7 @@
     CallerRequest,
 )
 from lagoonlatch.platform.headers import read_request_fields
+from lagoonlatch.sockets import is_closed_by_peer
 from lagoonlatch.steering.model import CallerLimits
 
 MAX_PIPELINED_REQUESTS = 16
@@ -51,6 +52,10 @@
 """Time to wait for the caller to close the connection. Closing it earlier may cause a
 reset that discards the answer."""
 
+CLOSE_CHECK_INTERVAL: Millis = 100.0
+"""Interval at which a reader that waits for an answer to be written checks whether the
+caller has closed the connection."""
+
 IDLE_CHECK_INTERVAL: Millis = 500.0
 """Interval at which a reader checks whether its connection has become idle."""
 
@@ -178,7 +183,8 @@
     def _read_requests(self) -> None:
         while not self._is_closing:
             if len(self._pending_requests) >= MAX_PIPELINED_REQUESTS:
-                self._pending_requests[0].answered.wait()
+                if not self._wait_for_answer(self._pending_requests[0].answered):
+                    return
                 continue
             previous_answered = (
                 self._pending_requests[-1].answered if self._pending_requests else None
@@ -223,7 +229,8 @@
                 return Failure(_Rejected(error.error_status_hint, str(error)))
             if event is h11.NEED_DATA:
                 if head is not None and parser.they_are_waiting_for_100_continue:
-                    self._send_continue(pending)
+                    if not self._send_continue(pending):
+                        return Failure(_Closed())
                     if self._is_closing:
                         return Failure(_IgnoredRequest())
                 data = self._receive(started, head is not None, limits)
@@ -286,13 +293,27 @@
         finally:
             timer.close()
 
-    def _send_continue(self, pending: _PendingRequest) -> None:
-        """Send an interim answer, unless an earlier answer closes the connection."""
-        if pending.previous_answered is not None:
-            pending.previous_answered.wait()
+    def _wait_for_answer(self, answered: Event) -> bool:
+        """Wait until an answer is written; return False if the caller leaves first."""
+        while not answered.wait(timeout=CLOSE_CHECK_INTERVAL / MILLIS_PER_SECOND):
+            if is_closed_by_peer(self._sock):
+                return False
+        return True
+
+    def _send_continue(self, pending: _PendingRequest) -> bool:
+        """Send an interim answer, unless an earlier answer closes the connection.
+
+        Return False if the caller leaves before.
+        """
+        previous_answered = pending.previous_answered
+        if previous_answered is not None and not self._wait_for_answer(
+            previous_answered
+        ):
+            return False
         if not self._is_closing:
             interim = h11.InformationalResponse(status_code=100, headers=[])
             self._send(pending.parser.send(interim))
+        return True
 
     def _send(self, data: bytes) -> None:
         """Send all of `data`.
--- a/lagoonlatch/sockets.py
+++ b/lagoonlatch/sockets.py
@@ -10,6 +10,10 @@
 """Between probes of a connection on which nothing moves; the system counts seconds."""
 
 
+_STATES_CLOSED_BY_PEER = frozenset({6, 7, 8, 9, 11})
+"""Linux's numbers of TIME_WAIT, CLOSE, CLOSE_WAIT, LAST_ACK and CLOSING."""
+
+
 def tune_socket(
     sock: socket.socket, silence: Millis, idle: Millis = KEEP_ALIVE_INTERVAL
 ) -> None:
@@ -35,5 +39,19 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(silence))
 
 
+def is_closed_by_peer(sock: socket.socket) -> bool:
+    """Return whether the peer of a TCP connection has closed or reset it.
+
+    Unlike a read, this also notices a close behind bytes that haven't been read yet.
+
+    Raises
+    ------
+    OSError
+        If the socket is closed.
+    """
+    (state,) = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    return state in _STATES_CLOSED_BY_PEER
+
+
 def _seconds(duration: Millis) -> int:
     return int(duration / MILLIS_PER_SECOND)
--- a/tests/entry/test_caller_departure.py
+++ b/tests/entry/test_caller_departure.py
@@ -6,7 +6,7 @@
 from gevent.event import Event
 
 from lagoonlatch.entry import handling
-from lagoonlatch.entry.connection import CallerConnection
+from lagoonlatch.entry.connection import MAX_PIPELINED_REQUESTS, CallerConnection
 from lagoonlatch.entry.messages import Answered
 from lagoonlatch.steering.homes import SlotHomes
 from lagoonlatch.steering.model import CallerLimits, RouteKind
@@ -135,8 +135,9 @@
 
 
 @pytest.mark.parametrize("how", ["close", "reset"])
-@pytest.mark.parametrize("count", [1, 15])
+@pytest.mark.parametrize("count", [1, MAX_PIPELINED_REQUESTS, 18, 40])
 def test_requests_sent_ahead_stop_waiting_when_their_caller_leaves(how, count):
+    """The connection reads no further while it handles so many."""
     harness = DepartureHarness(Answered(make_answer()))
     harness.occupy_slots()
     harness.send(count)
@@ -148,6 +149,24 @@
     assert harness.task.ready()
 
 
+@pytest.mark.parametrize("how", ["close", "reset"])
+def test_requests_ahead_of_an_expected_body_stop_waiting(how):
+    """The connection reads nothing until it may ask for the body."""
+    harness = DepartureHarness(Answered(make_answer()))
+    harness.occupy_slots()
+    harness.send()
+    harness.caller.sendall(
+        b"POST /a/1 HTTP/1.1\r\nHost: h.example\r\nRequest-Id: 1\r\n"
+        b"Content-Length: 5\r\nExpect: 100-continue\r\n\r\n"
+    )
+    gevent.sleep(0.05)
+    harness.leave(how)
+    harness.finish.set()
+    harness.free_slots()
+    assert harness.sent == []
+    assert harness.task.ready()
+
+
 @pytest.mark.parametrize("wait", ["claim", "loan"])
 def test_request_is_not_sent_if_its_caller_leaves_during_a_claim_or_loan(
     wait, monkeypatch
