Give back the retry of a request that reached no upstream

What was lost: a request for a second upstream uses up a retry of the budget that all VMs share before its connection is open. If the caller left meanwhile, or the upstream couldn't be reached, nothing arrived, but the retry was used up for the whole window.

Change: it is given back. What arrived stays counted, also if it was turned away or broken off.

Tests: test_retry_that_is_not_sent_uses_no_retry_budget fails without the change of the handler ([1] in place of [1, -1]); tests/steering/test_retries.py.

--- a/lagoonlatch/entry/handling.py
+++ b/lagoonlatch/entry/handling.py
@@ -363,11 +363,16 @@
     def _run_attempt(
         self, context: _RequestContext, upstream: UpstreamState
     ) -> CallerAnswer | None:
-        if context.attempts and not self._retry_budget.consume(context.service):
+        earlier_attempts = context.attempts
+        if earlier_attempts and not self._retry_budget.consume(context.service):
             return self._give_up(context, "no repeats left")
-        return self._try_upstream(
-            context, upstream, context.deadline - self._clock.now()
-        )
+        try:
+            return self._try_upstream(
+                context, upstream, context.deadline - self._clock.now()
+            )
+        finally:
+            if earlier_attempts and context.attempts == earlier_attempts:
+                self._retry_budget.refund(context.service)
 
     def _acquire_upstream(self, context: _RequestContext) -> UpstreamState | None:
         """Return an upstream with a slot claimed for the request, or None."""
--- a/lagoonlatch/steering/retries.py
+++ b/lagoonlatch/steering/retries.py
@@ -65,6 +65,14 @@
         retries.append(now)
         return True
 
+    def refund(self, service: str) -> None:
+        """Give back the latest retry, which reached no upstream."""
+        retries = self._keep_recent(
+            self._retries_by_service[service], self._clock.now()
+        )
+        if retries:
+            retries.pop()
+
     def _keep_recent(self, instants: deque[Millis], now: Millis) -> deque[Millis]:
         while instants and instants[0] < now - self._window:
             instants.popleft()
--- a/tests/entry/test_caller_departure.py
+++ b/tests/entry/test_caller_departure.py
@@ -7,7 +7,7 @@
 
 from lagoonlatch.entry import handling
 from lagoonlatch.entry.connection import MAX_PIPELINED_REQUESTS, CallerConnection
-from lagoonlatch.entry.messages import Answered
+from lagoonlatch.entry.messages import Answered, NotRun
 from lagoonlatch.steering.homes import SlotHomes
 from lagoonlatch.steering.model import CallerLimits, RouteKind
 from tests.entry.scripted import reset_connection
@@ -225,3 +225,25 @@
     harness.finish.set()
     gevent.sleep(0.05)
     assert harness.allowances.consume("dojo") is not None
+
+
+def test_retry_that_is_not_sent_uses_no_retry_budget(monkeypatch):
+    """The caller leaves while the connection for the retry is opened."""
+    harness = DepartureHarness()
+    outcomes = [TURNED_AWAY, NotRun("the caller has left", reached=False)]
+    used = []
+    budget = harness.handler._retry_budget
+    consume, refund = budget.consume, budget.refund
+    monkeypatch.setattr(budget, "consume", lambda s: used.append(1) or consume(s))
+    monkeypatch.setattr(budget, "refund", lambda s: used.append(-1) or refund(s))
+
+    def run_attempt(*_attempt):
+        if len(outcomes) == 1:
+            harness.leave("close")
+        return outcomes.pop(0)
+
+    harness.attempts.run = run_attempt
+    harness.send()
+    gevent.sleep(2 * NOTICE_SECONDS)
+    assert outcomes == []
+    assert used == [1, -1]
--- a/tests/steering/test_retries.py
+++ b/tests/steering/test_retries.py
@@ -38,3 +38,25 @@
     assert not budget.consume("ledger")
     clock.advance(10_001.0)
     assert budget.consume("ledger")
+
+
+def test_retry_that_reached_no_upstream_can_be_used_again():
+    clock = ManualClock()
+    budget = make_budget(clock)
+    while budget.consume("ledger"):
+        clock.advance(1.0)
+    budget.refund("ledger")
+    assert budget.consume("ledger")
+    assert not budget.consume("ledger")
+
+
+def test_refund_after_the_window_changes_nothing():
+    """The retry has left the window, and so has its count."""
+    clock = ManualClock()
+    budget = make_budget(clock)
+    assert budget.consume("ledger")
+    clock.advance(10_001.0)
+    assert budget.consume("docs")
+    budget.refund("ledger")
+    budget.refund("ledger")
+    assert budget.consume("ledger")
