Let callers leave in the soak, and check what becomes of their requests

Change: the kind callers_leave has callers that leave by a FIN or a reset, one request each that an upstream turns away a second after it came, one idempotent request each, and 24 requests ahead each, which use up the slots of all upstreams. Requests are left out if the VM or its way to the upstream was disturbed.

Three planted faults: the departure forgotten, the close found by reads only, waits never interrupted.

--- a/lagoonlatch/standins/entry_fleet.py
+++ b/lagoonlatch/standins/entry_fleet.py
@@ -351,7 +351,7 @@
     cold_start: Millis,
     cold_rate: float,
 ) -> dict:
-    def route(name: str, kind: str, max_attempts: int = 2) -> dict:
+    def route(name: str, kind: str, max_attempts: int = 2, goal_s: float = 0.5) -> dict:
         return {
             "resource_kind": "routes",
             "metadata": {"name": name},
@@ -360,7 +360,7 @@
                 "path_prefix": f"/{name}/",
                 "kind": kind,
                 "timeout_s": timeout_s,
-                "goal_s": 0.5,
+                "goal_s": goal_s,
                 "priority": 1,
                 "service": "ledger",
                 "max_attempts": max_attempts,
@@ -389,6 +389,8 @@
         route("look", "safe"),
         route("once", "safe", max_attempts=1),
         route("book", "unsafe"),
+        # Its requests wait long for a slot.
+        route("reserve", "unsafe", goal_s=timeout_s),
         route("fetch", "download"),
         service,
         organisation,
--- a/lagoonlatch/standins/instance.py
+++ b/lagoonlatch/standins/instance.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import socket
 import time
 from collections import Counter
 from collections.abc import Callable, Iterable
@@ -10,9 +11,10 @@
 
 import gevent
 from gevent.pool import Pool
-from gevent.pywsgi import WSGIServer
+from gevent.pywsgi import WSGIHandler, WSGIServer
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Millis
+from lagoonlatch.sockets import is_closed_by_peer
 
 HEALTH_PATH = "/healthz"
 
@@ -21,8 +23,22 @@
 """Size of the answers to requests whose path begins with `LARGE_PREFIX`."""
 
 
+CLOSE_CHECK_INTERVAL: Millis = 50.0
+"""Interval at which it checks whether the connection of a request has been closed."""
+
+
+_SOCKET_KEY = "lagoonlatch.socket"
+
+
+class _SocketHandler(WSGIHandler):
+    """Adds the socket to the environment."""
+
+    def get_environ(self) -> dict[str, Any]:
+        return super().get_environ() | {_SOCKET_KEY: self.socket}
+
+
 class InstanceStandin:
-    """Runs requests and counts them.
+    """Runs requests and counts them; drops those whose connections are closed.
 
     Parameters
     ----------
@@ -66,6 +82,14 @@
         Instant and id of each request that was meant for it.
     running : set of str
         Ids of the requests that it is running.
+    work_by_request : dict
+        Instants at which its work on each request ended, and would have ended if the
+        connection had stayed open.
+    find_work : callable
+        Returns how long the request with an id takes; None if it takes `work`.
+    find_refusal_delay : callable
+        Returns after how long the request with an id is turned away; None if it is
+        run.
     leaving_told, rest_told, limit_told : list of tuple
         Instant, id of the request, and for a rest how long, or which limit, of each
         answer with one.
@@ -93,6 +117,9 @@
         self.work = work
         self._slots = slots
         self.running: set[str] = set()
+        self.work_by_request: dict[str, tuple[Millis, Millis]] = {}
+        self.find_work: Callable[[str], Millis | None] = lambda request: None
+        self.find_refusal_delay: Callable[[str], Millis | None] = lambda request: None
         self._sequence = 0
         self._connections = Pool()
         self._server: WSGIServer | None = None
@@ -106,6 +133,7 @@
             log=None,
             error_log=None,
             spawn=self._connections,
+            handler_class=_SocketHandler,
         )
         server.start()
         self._server = server
@@ -181,6 +209,11 @@
             headers += [("Not-Run", "1"), ("Retry-After", seconds)]
             start("503 Service Unavailable", headers)
             return [b""]
+        refusal_delay = self.find_refusal_delay(request)
+        if refusal_delay is not None:
+            gevent.sleep(refusal_delay / MILLIS_PER_SECOND)
+            start("503 Service Unavailable", [*headers, ("Not-Run", "1")])
+            return [b""]
         if len(self.running) >= self._slots:
             start("503 Service Unavailable", [*headers, ("Not-Run", "1")])
             return [b""]
@@ -200,9 +233,12 @@
         body = environ["wsgi.input"].read()
         self.running.add(request)
         try:
-            gevent.sleep(self.work / MILLIS_PER_SECOND)
+            is_finished = self._work_on(request, environ[_SOCKET_KEY])
         finally:
             self.running.discard(request)
+        if not is_finished:
+            start("500 Dropped", headers)
+            return [b""]
         headers.append(("Server-Stamp", f"stamp-{self.id}-{request}"))
         headers.append(("Server-Load", f"{len(self.running)},0,{self._slots}"))
         if self.failure_status and random.random() < self.failing_share:
@@ -213,6 +249,18 @@
         start("200 OK", headers)
         return [body or answer_body(environ["PATH_INFO"])]
 
+    def _work_on(self, request: str, sock: socket.socket) -> bool:
+        """Return whether the work has been finished before the connection's close."""
+        work = self.find_work(request)
+        end = _now() + (self.work if work is None else work)
+        is_dropped = False
+        while _now() < end and not is_dropped:
+            time_left = min(end - _now(), CLOSE_CHECK_INTERVAL)
+            gevent.sleep(max(time_left, 0.0) / MILLIS_PER_SECOND)
+            is_dropped = is_closed_by_peer(sock)
+        self.work_by_request[request] = (_now(), max(_now(), end))
+        return not is_dropped
+
 
 def answer_body(path: str) -> bytes:
     """Return the answer to a request without a body, which belongs to its path."""
--- a/tests/soak/kinds.py
+++ b/tests/soak/kinds.py
@@ -11,7 +11,14 @@
 from lagoonlatch.clock import MILLIS_PER_SECOND, Millis
 from lagoonlatch.platform.registrations import UPSTREAM_PREFIX
 from lagoonlatch.standins.faults import ANY_GROUP, Fault, Rule, Swallow
-from tests.soak.world import DATA_CENTRES, SlowCaller, Span, World, now
+from tests.soak.world import (
+    DATA_CENTRES,
+    LeavingCaller,
+    SlowCaller,
+    Span,
+    World,
+    now,
+)
 
 STOP_GRACE: Millis = 6_000.0
 """A VM is killed so long after SIGTERM, as its settings say."""
@@ -42,6 +49,18 @@
 EQUAL_RUNNING = 6
 """Equal requests that an upstream runs when it crashes, if they come in time."""
 
+TURNED_AWAY, SENT_AHEAD, SAFE = "turned-away", "ahead", "safe"
+"""Labels of the requests whose callers leave."""
+
+LEAVING_WORK: Millis = 1_500.0
+"""Time that their requests take, so that some of them wait for slots."""
+
+REFUSAL_DELAY: Millis = 1_000.0
+"""How long after its arrival a request labelled `TURNED_AWAY` is turned away."""
+
+COUNT_AHEAD = 24
+"""Requests that a caller sends ahead; a VM handles 16 of a connection."""
+
 Play = Callable[[World, random.Random, Millis], None]
 MakeFault = Callable[[random.Random], Fault]
 
@@ -144,6 +163,39 @@
     )
 
 
+@kind
+def callers_leave(world: World, rng: random.Random, _duration: Millis) -> None:
+    """Let callers leave while their requests wait, run, or are turned away late."""
+    for instance in world.instances_by_id.values():
+        instance.find_work = _find_work_of_leaving
+        instance.find_refusal_delay = _find_refusal_delay
+    callers = [
+        (LeavingCaller(world, _any_vm(world, rng), label, is_unsafe, rng), count)
+        for label, is_unsafe, callers_count, count in (
+            (TURNED_AWAY, True, 16, 1),
+            (SAFE, False, 6, 1),
+            # These occupy the remaining slots, and wait for more.
+            (SENT_AHEAD, True, 6, COUNT_AHEAD),
+        )
+        for _ in range(callers_count)
+    ]
+    leaving = [
+        gevent.spawn(caller.run, count, rng.uniform(200.0, 500.0), rng.random() < 0.5)
+        for caller, count in callers
+    ]
+    gevent.joinall(leaving, raise_error=True)
+    _sleep(LEAVING_WORK)
+
+
+def _find_work_of_leaving(request: str) -> Millis | None:
+    is_leaving = any(f".{label}." in request for label in (SENT_AHEAD, SAFE))
+    return LEAVING_WORK if is_leaving else None
+
+
+def _find_refusal_delay(request: str) -> Millis | None:
+    return REFUSAL_DELAY if f".{TURNED_AWAY}." in request else None
+
+
 @kind
 def vm_reload(world: World, rng: random.Random, _duration: Millis) -> None:
     """Tell a VM that its settings have changed; that disturbs nothing."""
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -49,6 +49,15 @@
 CROSSING: Millis = 200.0
 """A request that is not passed on may meet the close of its connection this late."""
 
+LEFT_NOTICED: Millis = 500.0
+"""After a close has reached a VM this long ago, its requests end."""
+
+LEFT_ARRIVALS = 3
+"""Requests that may still arrive so late: a few, as the rules have it."""
+
+LEFT_WORKING = 0.25
+"""Share of the idempotent requests at which upstreams may still work then."""
+
 PROMISES = frozenset({408, 421, 429, 503})
 
 
@@ -68,7 +77,8 @@
             yield f"{asked.id}: {asked.status} with the stamp of another status"
         after = asked.ended - asked.sent
         is_crossing = not runs[asked.id] and after <= CROSSING
-        is_unanswered = asked.status == 0 and not asked.problem and not is_crossing
+        is_awaited = asked.left is None and not is_crossing
+        is_unanswered = asked.status == 0 and not asked.problem and is_awaited
         if is_unanswered and not _is_excused(world, asked):
             ran = f"run {runs[asked.id]} times"
             yield f"{asked.id}: no answer, closed after {after:.0f} ms, {ran}"
@@ -85,6 +95,7 @@
     yield from _quota_problems(world)
     yield from _limit_problems(world)
     yield from _cold_problems(world)
+    yield from _departure_problems(world)
 
 
 def _upstream_statuses(world: World, asked: Asked) -> set[int]:
@@ -261,6 +272,42 @@
                 )
 
 
+def _departure_problems(world: World) -> Iterator[str]:
+    """Check what becomes of requests whose callers have left."""
+    left = {a.id: a for a in world.history.asked if a.left is not None}
+    late = [
+        f"{asked.id} at {instance.id} after {at - asked.left:.0f} ms"
+        for instance in world.instances_by_id.values()
+        for at, request in instance.arrivals
+        if (asked := left.get(request)) is not None
+        and at > asked.left + LEFT_NOTICED
+        and not _is_held_up(world, asked, instance.id, at)
+    ]
+    if len(late) > LEFT_ARRIVALS:
+        yield f"{len(late)} requests arrived after their callers had left: {late[:5]}"
+    lasting = [
+        (request, ended)
+        for instance in world.instances_by_id.values()
+        for request, (ended, planned_end) in instance.work_by_request.items()
+        if (asked := left.get(request)) is not None
+        and not asked.is_unsafe
+        and planned_end > asked.left + LEFT_NOTICED
+        and not _is_held_up(world, asked, instance.id, planned_end)
+    ]
+    working = [r for r, ended in lasting if ended > left[r].left + LEFT_NOTICED]
+    if len(working) > len(lasting) * LEFT_WORKING:
+        yield (
+            f"upstreams worked on {len(working)} of {len(lasting)} idempotent requests"
+            f" after their callers had left: {working[:5]}"
+        )
+
+
+def _is_held_up(world: World, asked: Asked, instance: str, until: Millis) -> bool:
+    """Return whether the VM or its way to the upstream was disturbed."""
+    start = asked.sent - SETTLE
+    return world.history.disturbed({asked.vm, instance}, start, until)
+
+
 def _highest_limit(
     changes: list[tuple[Millis, float | None]], start: Millis
 ) -> float | None:
--- a/tests/soak/planted.py
+++ b/tests/soak/planted.py
@@ -151,6 +151,34 @@
     CallerConnection._end = lambda self, error: None
 
 
+@plant
+def departure_forgotten() -> None:
+    """Interrupt a wait when the caller leaves, but don't ask again later."""
+    from lagoonlatch.entry.cancellation import CancellationToken
+
+    CancellationToken.is_cancelled = property(lambda self: False)
+    CancellationToken.check = lambda self: None
+
+
+@plant
+def departure_found_by_reads_only() -> None:
+    """Don't notice the close of a connection that isn't read."""
+    from lagoonlatch.entry import connection
+
+    connection.is_closed_by_peer = lambda sock: False
+
+
+@plant
+def departure_interrupts_nothing() -> None:
+    """Let requests go on at upstreams when their callers leave."""
+    from lagoonlatch.entry.cancellation import CancellationToken
+
+    def cancel(self):
+        self._is_cancelled = True
+
+    CancellationToken.cancel = cancel
+
+
 @plant
 def evacuation_ignored() -> None:
     """Go on sending to evacuated data centres."""
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -84,6 +84,24 @@
     assert not verdict.problems
 
 
+DEPARTURE_PLANTS = {
+    "departure_forgotten": "arrived after their callers had left",
+    "departure_found_by_reads_only": "arrived after their callers had left",
+    "departure_interrupts_nothing": "upstreams worked on",
+}
+
+
+@pytest.mark.parametrize("planted", DEPARTURE_PLANTS)
+def test_a_request_that_goes_on_without_its_caller_is_found(planted):
+    verdict = play(7, 8_000.0, planted=planted, kinds=("callers_leave",))
+    assert any(DEPARTURE_PLANTS[planted] in problem for problem in verdict.problems)
+
+
+def test_requests_end_with_their_callers():
+    verdict = play(7, 8_000.0, kinds=("callers_leave",))
+    assert not verdict.problems
+
+
 LAPSE = {"vms": 10, "instances": 3, "kinds": ("store_lapses",), "cold_rate": 8.0}
 
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -4,6 +4,7 @@
 
 import random
 import signal
+import struct
 import sys
 import time
 from dataclasses import dataclass, field
@@ -42,6 +43,9 @@
 RECEIVE_BYTES = 65_536
 """Size of a slow caller's receive buffer."""
 
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER with which a close resets the connection."""
+
 GHOST_LIFETIME: Millis = 3_000.0
 """After this the platform removes an entry that its upstream doesn't renew."""
 
@@ -55,7 +59,11 @@
 
 @dataclass
 class Asked:
-    """One request as its caller saw it; status 0: the connection ended."""
+    """One request as its caller saw it; status 0: the connection ended.
+
+    `is_patient` asks on a route whose requests wait long for a slot. `left` is when the
+    caller closed the connection without waiting for the answer.
+    """
 
     id: str
     vm: str
@@ -68,12 +76,16 @@
     status: int = 0
     has_stamp: bool = False
     problem: str = ""
+    is_patient: bool = False
+    left: Millis | None = None
 
     @property
     def path(self) -> str:
         """The requested path."""
         if self.is_equal:
             return EQUAL_PATH
+        if self.is_patient:
+            return f"/reserve/{self.id}"
         if self.is_large:
             return f"{LARGE_PREFIX}{self.id}"
         return f"/book/{self.id}" if self.is_unsafe else f"/look/{self.id}"
@@ -336,6 +348,60 @@
         self._sock = None
 
 
+class LeavingCaller(Caller):
+    """Sends requests ahead and closes the connection without reading an answer.
+
+    Parameters
+    ----------
+    label : str
+        Part of the ids of its requests.
+    is_unsafe : bool
+        Whether its requests may run only once.
+    """
+
+    def __init__(
+        self, world: World, vm: str, label: str, is_unsafe: bool, rng: random.Random
+    ) -> None:
+        super().__init__(world, vm, rng.randrange(2**32), rng)
+        self._label = label
+        self._is_unsafe = is_unsafe
+
+    def run(self, count: int, stay: Millis, is_reset: bool) -> None:
+        """Send `count` requests and leave after `stay`, by a FIN or by a reset."""
+        asked = [self._next_left() for _ in range(count)]
+        port = self._world.vms_by_id[self._vm].caller_port
+        try:
+            sock = socket.create_connection(("127.0.0.1", port), timeout=1.0)
+        except OSError:
+            # The VM is down or has stopped listening.
+            return
+        self._world.history.asked += asked
+        try:
+            sock.sendall(b"".join(map(self._encode, asked)))
+            gevent.sleep(stay / MILLIS_PER_SECOND)
+        except OSError:
+            # The VM has ended meanwhile.
+            return
+        finally:
+            for one in asked:
+                one.left = one.ended = now()
+            if is_reset:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+            sock.close()
+
+    def _next_left(self) -> Asked:
+        self._count += 1
+        return Asked(
+            id=f"{self._vm}.{self._label}.{self._number}.{self._count}",
+            vm=self._vm,
+            key=self._world.history.keys[-1][1],
+            is_unsafe=self._is_unsafe,
+            is_equal=False,
+            is_patient=self._is_unsafe,
+            sent=now(),
+        )
+
+
 class SlowCaller(Caller):
     """Sends requests with large answers ahead, and reads the answers late."""
 
