--- a/lagoonlatch/callers/server.py
+++ b/lagoonlatch/callers/server.py
@@ -11,10 +11,14 @@
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Millis
+from lagoonlatch.sockets import is_closed_by_peer
 
 MAX_CONNECTIONS = 10_000
 DRAIN_POLL: Millis = 20.0
 
+CLOSE_CHECK_INTERVAL: Millis = 100.0
+"""Interval of the checks whether a caller that has sent data ahead has left."""
+
 SOCKET_KEY = "lagoonlatch.socket"
 TARGET_KEY = "lagoonlatch.target"
 HEADERS_KEY = "lagoonlatch.headers"
@@ -111,20 +115,30 @@
     def __init__(self, sock: socket.socket) -> None:
         self._sock = sock
         self._greenlet = gevent.getcurrent()
-        self._watcher = gevent.get_hub().loop.io(sock.fileno(), _READABLE)
+        loop = gevent.get_hub().loop
+        self._watcher = loop.io(sock.fileno(), _READABLE)
+        interval = CLOSE_CHECK_INTERVAL / MILLIS_PER_SECOND
+        self._timer = loop.timer(interval, interval)
 
     def __enter__(self) -> CallerWatch:
         self._watcher.start(self._readable)
         return self
 
     def __exit__(self, *_exception: object) -> None:
-        self._watcher.stop()
-        self._watcher.close()
+        for watcher in (self._watcher, self._timer):
+            watcher.stop()
+            watcher.close()
 
     def _readable(self) -> None:
         self._watcher.stop()
-        # Data are the caller's next request, read after this one's answer.
-        if _has_ended(self._sock):
+        # Data are the caller's next request, read after this one's answer. They hide a
+        # close from this watcher.
+        self._timer.start(self._check)
+        self._check()
+
+    def _check(self) -> None:
+        if is_closed_by_peer(self._sock):
+            self._timer.stop()
             self._greenlet.kill(CallerGone, block=False)
 
 
@@ -135,16 +149,3 @@
             gevent.sleep(DRAIN_POLL / MILLIS_PER_SECOND)
         return True
     return False
-
-
-def _has_ended(sock: socket.socket) -> bool:
-    timeout = sock.gettimeout()
-    sock.settimeout(0)
-    try:
-        return not sock.recv(1, socket.MSG_PEEK)
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
-    finally:
-        sock.settimeout(timeout)
--- a/tests/callers/test_server.py
+++ b/tests/callers/test_server.py
@@ -45,7 +45,8 @@
     assert server.in_flight() == 0
 
 
-def test_caller_that_leaves_ends_its_request(serve):
+@pytest.mark.parametrize("requests_ahead", [0, 1, 20])
+def test_caller_that_leaves_ends_its_request(serve, requests_ahead):
     ended = []
 
     def application(environ, start_response):
@@ -59,6 +60,9 @@
     client = _connect(server)
     while not server.in_flight():
         gevent.sleep(0.01)
+    client.sendall(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n" * requests_ahead)
+    gevent.sleep(0.05)
+    assert ended == []
     client.shutdown(socket.SHUT_RDWR)
     assert wait_until_idle(server.in_flight, 5_000.0)
     assert ended == [True]
