Log answers that nobody gets any more

An unsafe request whose caller has left is still answered by its upstream, and the VM dropped the answer without a line, so that the request's own line, with the upstream's status, read as if the caller had got it.

Test: test_request_that_may_run_only_once_is_not_broken_off fails before.

--- a/lagoonlatch/entry/connection.py
+++ b/lagoonlatch/entry/connection.py
@@ -20,11 +20,13 @@
 from lagoonlatch.entry.answer_memory import AnswerMemoryLimit
 from lagoonlatch.entry.events import (
     AnswerCutOff,
+    AnswerDiscarded,
     CallerBytesRejected,
     RequestCrashed,
 )
 from lagoonlatch.entry.journal import emit
 from lagoonlatch.entry.messages import (
+    CALLER_LEFT_STATUS,
     CONNECTION_FIELDS,
     CallerAnswer,
     CallerRequest,
@@ -368,7 +370,9 @@
             pending.previous_answered.wait()
             pending.previous_answered = None
         try:
-            if not self._is_ended:
+            if self._is_ended:
+                _log_discarded(pending, answer)
+            else:
                 self._write(pending, answer)
         except OSError as error:
             self._end(error)
@@ -420,6 +424,13 @@
             pending.answered.set()
 
 
+def _log_discarded(pending: _PendingRequest, answer: CallerAnswer) -> None:
+    if pending.request is None or answer.status == CALLER_LEFT_STATUS:
+        return
+    name = pending.request.fields.request_id.decode("latin-1")
+    emit(AnswerDiscarded(request=name, status=answer.status))
+
+
 def _to_request(
     head: h11.Request | None, body: bytes, received: Millis
 ) -> Result[CallerRequest, _Rejected]:
--- a/lagoonlatch/entry/events.py
+++ b/lagoonlatch/entry/events.py
@@ -105,6 +105,14 @@
     why: str
 
 
+@log_event()
+class AnswerDiscarded(LogEvent):
+    """An answer was not written, since the connection had ended before."""
+
+    request: str
+    status: int
+
+
 @log_event(logging.ERROR)
 class RequestCrashed(LogEvent):
     """A defect of this program ended a request."""
--- a/lagoonlatch/entry/handling.py
+++ b/lagoonlatch/entry/handling.py
@@ -18,6 +18,7 @@
 from lagoonlatch.entry.facts import Facts
 from lagoonlatch.entry.journal import emit
 from lagoonlatch.entry.messages import (
+    CALLER_LEFT_STATUS,
     CONNECTION_FIELDS,
     Answered,
     CallerAnswer,
@@ -63,9 +64,6 @@
 """Delay after which a caller retries a download for whose answer this VM has no memory;
 its next connection probably leads to another VM."""
 
-CALLER_LEFT_STATUS = 499
-"""Stands in logs and metrics for the answer to a caller that has left; never sent."""
-
 _RETRIED_STATUSES = frozenset({500, 502, 503, 504})
 
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
--- a/lagoonlatch/entry/messages.py
+++ b/lagoonlatch/entry/messages.py
@@ -27,6 +27,10 @@
 """Hop-by-hop and framing fields, which are set anew for each connection."""
 
 
+CALLER_LEFT_STATUS = 499
+"""Stands in logs and metrics for the answer to a caller that has left; never sent."""
+
+
 @dataclass(kw_only=True)
 class CallerRequest:
     """A complete request of a caller.
--- a/tests/entry/test_caller_departure.py
+++ b/tests/entry/test_caller_departure.py
@@ -5,9 +5,10 @@
 from gevent import socket
 from gevent.event import Event
 
-from lagoonlatch.entry import handling
+from lagoonlatch.entry import connection, handling
 from lagoonlatch.entry.connection import MAX_PIPELINED_REQUESTS, CallerConnection
-from lagoonlatch.entry.messages import Answered, NotRun
+from lagoonlatch.entry.events import AnswerDiscarded
+from lagoonlatch.entry.messages import CALLER_LEFT_STATUS, Answered, NotRun
 from lagoonlatch.steering.homes import SlotHomes
 from lagoonlatch.steering.model import CallerLimits, RouteKind
 from tests.entry.scripted import reset_connection
@@ -131,7 +132,9 @@
     harness.free_slots()
     assert harness.sent == [b"0"]
     assert harness.slots_in_use() == 0
-    assert [(line.status, line.why) for line in lines] == [(499, "caller left")]
+    assert [(line.status, line.why) for line in lines] == [
+        (CALLER_LEFT_STATUS, "caller left")
+    ]
 
 
 @pytest.mark.parametrize("how", ["close", "reset"])
@@ -198,8 +201,10 @@
     assert harness.slots_in_use() == 0
 
 
-def test_request_that_may_run_only_once_is_not_broken_off(lines):
+def test_request_that_may_run_only_once_is_not_broken_off(lines, monkeypatch):
     """Its answer is still read, and its slot is used until then."""
+    discarded = []
+    monkeypatch.setattr(connection, "emit", discarded.append)
     harness = DepartureHarness(Answered(make_answer()))
     harness.send()
     harness.leave("close")
@@ -208,6 +213,7 @@
     gevent.sleep(0.05)
     assert harness.slots_in_use() == 0
     assert [(line.status, line.why) for line in lines] == [(200, "")]
+    assert discarded == [AnswerDiscarded(request="0", status=200)]
 
 
 def test_caller_that_leaves_while_its_request_waits_uses_no_allowance():
