--- a/tests/features/overload.feature
+++ b/tests/features/overload.feature
@@ -30,6 +30,7 @@
       | failure                            |
       | norte-2 is cut off from everything |
 
+  @known-red
   Scenario: Measurements lie while the owner of instances changes
     Given requests take 400 ms
     When callers send reads without pause through every VM
