Accept routes of the kind upload and a fourth figure of Server-Load

Callers of a deployment with uploads got 503 for every request: the kind was unknown, so the whole configuration was unreadable. Server-Load with a figure for the current duration of work was dropped whole, and with it the load.

Requests of the kind upload run at most once, like those of unsafe. A kind that this version doesn't know is treated the same way and logged (route_kinds_unknown), so that it costs its own routes their retries and nothing else. The fourth figure of Server-Load is decoded; further figures are ignored.

--- a/lagoonlatch/entry/events.py
+++ b/lagoonlatch/entry/events.py
@@ -141,6 +141,17 @@
     latest: int
 
 
+@log_event(logging.WARNING)
+class RouteKindsUnknown(LogEvent):
+    """A configuration names kinds of routes that this version doesn't know.
+
+    Their requests may run once.
+    """
+
+    version: int
+    kinds: str
+
+
 @log_event(logging.WARNING)
 class ConfigurationUnreadable(LogEvent):
     """A configuration in the store could not be read; the old one stays in force."""
--- a/lagoonlatch/entry/facts.py
+++ b/lagoonlatch/entry/facts.py
@@ -20,6 +20,7 @@
     RestoreSettled,
     RestoreSettling,
     RosterEntryOdd,
+    RouteKindsUnknown,
     UpstreamEntryOdd,
     UpstreamGone,
     UpstreamHeld,
@@ -533,6 +534,9 @@
                 organisations=len(rules.organisations_by_id),
             )
         )
+        if rules.unknown_kinds:
+            kinds = ",".join(sorted(rules.unknown_kinds))
+            emit(RouteKindsUnknown(version=rules.version, kinds=kinds))
         for listener in self._rules_listeners:
             listener(rules)
         return None
--- a/lagoonlatch/platform/headers.py
+++ b/lagoonlatch/platform/headers.py
@@ -25,6 +25,8 @@
 """A wish for a longer rest is taken for an error: an upstream that is replaced is gone
 by then, and one that isn't must not be lost for an hour by one wrong number."""
 
+USUAL_WORK_PERCENT = 100
+
 # Set by this system; a caller's own are not passed on.
 _OWN_REQUEST_FIELDS = frozenset(
     {b"authorization", b"tenant", b"expect-instance", b"deadline-ms"}
@@ -55,11 +57,19 @@
 
 @dataclass(frozen=True, kw_only=True)
 class UpstreamLoad:
-    """What an upstream says of its load."""
+    """What an upstream says of its load.
+
+    Parameters
+    ----------
+    work_percent : int
+        How long work takes at this moment, as a percentage of its usual duration; 100
+        if the upstream doesn't say.
+    """
 
     running: int
     waiting: int
     slots: int
+    work_percent: int = USUAL_WORK_PERCENT
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -242,10 +252,17 @@
     if value is None:
         return None
     numbers = [_whole_number(part) for part in value.split(b",")]
-    if len(numbers) != 3 or None in numbers:
+    if len(numbers) < 3 or None in numbers[:3]:
         return None
-    running, waiting, slots = numbers
-    return UpstreamLoad(running=running, waiting=waiting, slots=slots)
+    running, waiting, slots = numbers[:3]
+    # Later versions of the protocol may add figures, so others don't make it invalid.
+    work_percent = numbers[3] if len(numbers) > 3 else None
+    return UpstreamLoad(
+        running=running,
+        waiting=waiting,
+        slots=slots,
+        work_percent=work_percent or USUAL_WORK_PERCENT,
+    )
 
 
 def _keep_alive(value: bytes) -> Millis | None:
--- a/lagoonlatch/platform/operator_keys.py
+++ b/lagoonlatch/platform/operator_keys.py
@@ -25,6 +25,8 @@
 
 _VERSION_MARK = "r"
 
+_KIND_BY_NAME = {kind.value: kind for kind in RouteKind}
+
 
 class _Part(msgspec.Struct):
     service: str
@@ -151,6 +153,9 @@
             for name, spec in specs_by_kind["services"].items()
         },
         limits=_to_limits(specs_by_kind["limits"]),
+        unknown_kinds=frozenset(
+            spec.kind for spec in specs_by_kind["routes"].values()
+        ).difference(_KIND_BY_NAME),
     )
 
 
@@ -160,7 +165,7 @@
         id=name,
         host=spec.host.lower(),
         path_prefix=spec.path_prefix,
-        kind=RouteKind(spec.kind),
+        kind=_KIND_BY_NAME.get(spec.kind, RouteKind.UNSAFE),
         timeout=spec.timeout_s * MILLIS_PER_SECOND,
         goal=spec.goal_s * MILLIS_PER_SECOND,
         priority=spec.priority,
--- a/lagoonlatch/standins/instance.py
+++ b/lagoonlatch/standins/instance.py
@@ -78,6 +78,8 @@
         Status of the answer to each request that has run.
     rate_limit : float or None
         Requests a second that it says in all its answers that it takes.
+    work_percent : int
+        How long it says that work takes, as a percentage of the usual duration.
     arrivals : list of tuple
         Instant and id of each request that was meant for it.
     running : set of str
@@ -110,6 +112,7 @@
         self.failing_share = 0.5
         self.status_by_request: dict[str, int] = {}
         self.rate_limit: float | None = None
+        self.work_percent = 100
         self.arrivals: list[tuple[Millis, str]] = []
         self.leaving_told: list[tuple[Millis, str]] = []
         self.rest_told: list[tuple[Millis, str, Millis]] = []
@@ -191,6 +194,7 @@
             headers.append(("Server-Limit", f"{self.rate_limit:g}"))
         if environ["PATH_INFO"] == HEALTH_PATH:
             headers.append(("Cold-Ms", str(round(self.cold_left()))))
+            headers.append(self._load_field())
             start("503 Leaving" if self.is_leaving else "200 OK", headers)
             return [b"ok"]
         request = environ.get("HTTP_REQUEST_ID", "")
@@ -240,7 +244,7 @@
             start("500 Dropped", headers)
             return [b""]
         headers.append(("Server-Stamp", f"stamp-{self.id}-{request}"))
-        headers.append(("Server-Load", f"{len(self.running)},0,{self._slots}"))
+        headers.append(self._load_field())
         if self.failure_status and random.random() < self.failing_share:
             self.status_by_request[request] = self.failure_status
             start(f"{self.failure_status} Failed", headers)
@@ -249,6 +253,10 @@
         start("200 OK", headers)
         return [body or answer_body(environ["PATH_INFO"])]
 
+    def _load_field(self) -> tuple[str, str]:
+        load = f"{len(self.running)},0,{self._slots},{self.work_percent}"
+        return "Server-Load", load
+
     def _work_on(self, request: str, sock: socket.socket) -> bool:
         """Return whether the work has been finished before the connection's close."""
         work = self.find_work(request)
--- a/lagoonlatch/steering/model.py
+++ b/lagoonlatch/steering/model.py
@@ -15,12 +15,14 @@
 class RouteKind(Enum):
     """Kind of a route, which decides whether its requests may be retried.
 
-    `SAFE` and `DOWNLOAD` requests may run more than once, `UNSAFE` ones may not.
+    `SAFE` and `DOWNLOAD` requests may run more than once, `UNSAFE` ones and `UPLOAD`
+    ones, which have large bodies, may not.
     """
 
     SAFE = "safe"
     UNSAFE = "unsafe"
     DOWNLOAD = "download"
+    UPLOAD = "upload"
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -81,7 +83,7 @@
     @property
     def is_idempotent(self) -> bool:
         """Whether a request may run more than once."""
-        return self.kind is not RouteKind.UNSAFE
+        return self.kind in (RouteKind.SAFE, RouteKind.DOWNLOAD)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -150,6 +152,9 @@
         Longest prefix first.
     organisation_by_key : mapping of str to Organisation
         The organisation of each valid key.
+    unknown_kinds : frozenset of str
+        Kinds of routes that this version doesn't know. Their requests may run once, as
+        nothing is known of them.
     """
 
     version: int
@@ -160,6 +165,7 @@
     organisations_by_id: Mapping[str, Organisation] = field(default_factory=dict)
     services_by_id: Mapping[str, Service] = field(default_factory=dict)
     limits: CallerLimits = CallerLimits()
+    unknown_kinds: frozenset[str] = frozenset()
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of `path` (without its query) at `host`, or None."""
