Trust upstreams after health answers, which bear no stamp

Once a connection to an upstream had been reset, its VM never used it again: each successful answer without Server-Stamp counted as malformed, and health answers have none.

The stamp is now required of answers to requests of callers only. A check that the upstream rejects or answers with a failure shows that its process runs, so the request during which its connection ended is no longer blamed for a crash; a check without an answer, or answered by another upstream, still counts.

--- a/lagoonlatch/entry/exchange.py
+++ b/lagoonlatch/entry/exchange.py
@@ -134,7 +134,7 @@
             self._sock.settimeout(self._seconds_until(deadline))
             if not sender.send():
                 self.is_reusable = False
-            return self._classify(self._receive(request, parser, deadline))
+            return self._classify(request, self._receive(request, parser, deadline))
         except TimeoutError as error:
             self.is_reusable = False
             if error.errno == errno.ETIMEDOUT:
@@ -216,14 +216,15 @@
         if answer.fields.keep_alive is not None:
             self._keep_alive = answer.fields.keep_alive
 
-    def _classify(self, answer: UpstreamAnswer) -> Outcome:
+    def _classify(self, request: UpstreamRequest, answer: UpstreamAnswer) -> Outcome:
         if answer.status == _MISDIRECTED:
             self.is_reusable = False
             return NotRun("another upstream has the address", True, True, answer)
         if answer.fields.not_run:
             return NotRun(f"turned away with {answer.status}", True, False, answer)
         is_success = _FIRST_SUCCESS <= answer.status < _FIRST_REDIRECT
-        if is_success and (not answer.has_stamp or _is_encoded(answer)):
+        is_signed = answer.has_stamp or not request.requires_stamp
+        if is_success and (not is_signed or _is_encoded(answer)):
             self.is_reusable = False
             return Unknown(
                 FailureKind.MALFORMED, "success without the upstream's stamp"
--- a/lagoonlatch/entry/messages.py
+++ b/lagoonlatch/entry/messages.py
@@ -78,6 +78,9 @@
 
     Parameters
     ----------
+    requires_stamp : bool
+        Whether a successful answer without the upstream's stamp is invalid. Answers to
+        health checks have none.
     is_idempotent : bool
         Whether the request is broken off at the upstream when its caller leaves.
     cancellation : CancellationToken
@@ -90,6 +93,7 @@
     body: bytes
     has_body: bool
     request_id: bytes
+    requires_stamp: bool = True
     is_idempotent: bool = False
     cancellation: CancellationToken = field(default_factory=CancellationToken)
 
--- a/lagoonlatch/entry/probes.py
+++ b/lagoonlatch/entry/probes.py
@@ -4,6 +4,7 @@
 
 from collections import defaultdict
 from collections.abc import Callable
+from enum import Enum
 
 import gevent
 
@@ -13,7 +14,7 @@
 from lagoonlatch.entry.exchange import UpstreamConnection
 from lagoonlatch.entry.facts import Facts
 from lagoonlatch.entry.journal import emit
-from lagoonlatch.entry.messages import Answered, Outcome, UpstreamRequest
+from lagoonlatch.entry.messages import Answered, NotRun, Outcome, UpstreamRequest
 from lagoonlatch.entry.notices import UpstreamNotices
 from lagoonlatch.platform.headers import health_request_fields
 from lagoonlatch.steering.upstreams import UpstreamState
@@ -28,6 +29,16 @@
 _OK = 200
 
 
+class _CheckResult(Enum):
+    """Result of one health check."""
+
+    HEALTHY = "healthy"
+    UNHEALTHY = "unhealthy"
+    """The upstream runs and answers, but not that it is healthy."""
+    MISSING = "missing"
+    """The upstream doesn't answer, or another one has its address."""
+
+
 class Prober:
     """Probes suspect upstreams, each in its own greenlet.
 
@@ -65,7 +76,7 @@
         Parameters
         ----------
         on_check_failed : callable, optional
-            Is called once if the next health check fails.
+            Is called once if the upstream doesn't answer the next health check.
         """
         if upstream.is_removed:
             return
@@ -88,31 +99,32 @@
             if upstream.rate_limit is not None and not self._claim_check(upstream):
                 gevent.sleep(interval / MILLIS_PER_SECOND)
                 continue
-            if self._probe(upstream, since):
-                self._failure_callbacks_by_id.pop(upstream.record.id, None)
+            result = self._probe(upstream, since)
+            callbacks = self._failure_callbacks_by_id.pop(upstream.record.id, ())
+            if result is _CheckResult.HEALTHY:
                 return
-            for on_check_failed in self._failure_callbacks_by_id.pop(
-                upstream.record.id, ()
-            ):
-                on_check_failed()
+            if result is _CheckResult.MISSING:
+                for on_check_failed in callbacks:
+                    on_check_failed()
             gevent.sleep(interval / MILLIS_PER_SECOND)
             interval = min(interval * 2.0, MAX_PROBE_INTERVAL)
 
-    def _probe(self, upstream: UpstreamState, since: Millis) -> bool:
+    def _probe(self, upstream: UpstreamState, since: Millis) -> _CheckResult:
         rules = self._facts.rules
         service = rules and rules.services_by_id.get(upstream.record.service)
         if not service:
-            return False
+            return _CheckResult.UNHEALTHY
         sent_at = self._clock.now()
         outcome = self._check(upstream.record.address, service.health_path)
-        if not isinstance(outcome, Answered):
-            return False
-        fields = outcome.answer.fields
+        answer = outcome.answer if isinstance(outcome, Answered | NotRun) else None
+        if answer is None:
+            return _CheckResult.MISSING
+        fields = answer.fields
         if fields.upstream and fields.upstream != upstream.record.id:
-            return False
-        self._notices.handle_answer(upstream, outcome.answer, sent_at, is_check=True)
-        if outcome.answer.status != _OK:
-            return False
+            return _CheckResult.MISSING
+        self._notices.handle_answer(upstream, answer, sent_at, is_check=True)
+        if not isinstance(outcome, Answered) or answer.status != _OK:
+            return _CheckResult.UNHEALTHY
         upstream.clear_suspicion(fields.cold_left)
         emit(
             UpstreamTrusted(
@@ -121,7 +133,7 @@
                 cold_ms=round(fields.cold_left),
             )
         )
-        return True
+        return _CheckResult.HEALTHY
 
     def _check(self, address: str, path: str) -> Outcome | None:
         request = UpstreamRequest(
@@ -131,6 +143,7 @@
             body=b"",
             has_body=False,
             request_id=b"",
+            requires_stamp=False,
         )
         try:
             with gevent.Timeout(PROBE_TIMEOUT / MILLIS_PER_SECOND, TimeoutError):
