Count answers with an invalid status code as malformed

The parsers accept more than the statuses of final answers. Both accept 600 to 999, which the entry VM and the earlier daemon returned to callers; the entry VM also kept the connection. The parser of the daemon and of the store's client takes 000 to 099 for interim answers, so that a later answer on the same connection was returned in place of the invalid one. Answers of the store with 600 to 999 counted as answers, and their era was read. An interim status with a body was skipped and its body read as the next head.

A final status outside 200 to 599, and an interim status that announces a body, now count as a malformed answer: the request may have run, and the connection is closed. The store's client reports no answer. A malformed answer to a health check doesn't make the upstream trusted, as before. As it shows that something runs there, it no longer blames the request during which the connection ended for a crash.

The tests send each status over a socket, with and without stamp and id. Letters, negative numbers, four or two digits and an empty status were malformed before.

--- a/lagoonlatch/entry/exchange.py
+++ b/lagoonlatch/entry/exchange.py
@@ -24,6 +24,7 @@
 from lagoonlatch.platform.endpoint import Endpoint
 from lagoonlatch.platform.headers import is_stamp, read_answer_fields
 from lagoonlatch.sockets import tune_socket
+from lagoonlatch.status_codes import is_final_status
 
 CONNECT_TIMEOUT: Millis = 400.0
 """Time limit of opening a connection; allows for some round trips between regions, but
@@ -271,8 +272,12 @@
 
     def add(self, event: h11.Event) -> None:
         if isinstance(event, h11.Response):
+            if not is_final_status(event.status_code):
+                raise _MalformedAnswerError(f"invalid status {event.status_code}")
             self._head = event
         elif isinstance(event, h11.InformationalResponse):
+            if _announces_body(event):
+                raise _MalformedAnswerError(f"status {event.status_code} with a body")
             self._interim_count += 1
             if self._interim_count > MAX_SKIPPED_ANSWERS:
                 raise _MalformedAnswerError(
@@ -317,6 +322,14 @@
     return True
 
 
+def _announces_body(event: h11.InformationalResponse) -> bool:
+    """Return whether an interim answer names a body, which would be read as a head."""
+    return any(
+        name == b"transfer-encoding" or (name == b"content-length" and value != b"0")
+        for name, value in event.headers
+    )
+
+
 def _is_encoded(answer: UpstreamAnswer) -> bool:
     return any(name.lower() == b"content-encoding" for name, _ in answer.headers)
 
--- a/lagoonlatch/entry/probes.py
+++ b/lagoonlatch/entry/probes.py
@@ -14,7 +14,14 @@
 from lagoonlatch.entry.exchange import UpstreamConnection
 from lagoonlatch.entry.facts import Facts
 from lagoonlatch.entry.journal import emit
-from lagoonlatch.entry.messages import Answered, NotRun, Outcome, UpstreamRequest
+from lagoonlatch.entry.messages import (
+    Answered,
+    FailureKind,
+    NotRun,
+    Outcome,
+    Unknown,
+    UpstreamRequest,
+)
 from lagoonlatch.entry.notices import UpstreamNotices
 from lagoonlatch.platform.headers import health_request_fields
 from lagoonlatch.steering.upstreams import UpstreamState
@@ -34,7 +41,7 @@
 
     HEALTHY = "healthy"
     UNHEALTHY = "unhealthy"
-    """The upstream runs and answers, but not that it is healthy."""
+    """The upstream runs and sends something, but not that it is healthy."""
     MISSING = "missing"
     """The upstream doesn't answer, or another one has its address."""
 
@@ -116,6 +123,8 @@
             return _CheckResult.UNHEALTHY
         sent_at = self._clock.now()
         outcome = self._check(upstream.record.address, service.health_path)
+        if isinstance(outcome, Unknown) and outcome.kind is FailureKind.MALFORMED:
+            return _CheckResult.UNHEALTHY
         answer = outcome.answer if isinstance(outcome, Answered | NotRun) else None
         if answer is None:
             return _CheckResult.MISSING
--- a/lagoonlatch/platform/connections.py
+++ b/lagoonlatch/platform/connections.py
@@ -18,6 +18,7 @@
 from lagoonlatch.clock import MILLIS_PER_SECOND, Millis
 from lagoonlatch.platform.endpoint import Endpoint
 from lagoonlatch.sockets import tune_socket
+from lagoonlatch.status_codes import is_final_status
 
 DEFAULT_CONNECTIONS = 8
 DEFAULT_TIMEOUT: Millis = 2_000.0
@@ -229,6 +230,8 @@
         try:
             response = self._client.request(method, path, body, JSON_HEADERS)
             body = _read_whole(response)
+            if not is_final_status(response.status_code):
+                return self._failed(f"invalid status {response.status_code}")
             return Success(Answer(response.status_code, body, _headers_of(response)))
         except (OSError, HTTPParseError) as error:
             return self._failed(_describe(error))
--- a/lagoonlatch/upstreams/http.py
+++ b/lagoonlatch/upstreams/http.py
@@ -14,6 +14,7 @@
 from returns.result import Failure, Success
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
+from lagoonlatch.status_codes import is_final_status
 from lagoonlatch.upstreams import headers as names
 from lagoonlatch.upstreams.connections import Connection, ConnectionPool
 from lagoonlatch.upstreams.messages import (
@@ -225,6 +226,8 @@
     def _judge(self, answer: BoundedResponse, connection: Connection):
         if answer.too_large:
             return self._fail(UnknownReason.TOO_LARGE)
+        if not is_final_status(answer.get_code()):
+            return self._fail(UnknownReason.MALFORMED_ANSWER)
         ended = connection.has_input()
         if answer.surplus or (ended and connection.sock.recv(1)):
             return self._fail(UnknownReason.MALFORMED_ANSWER)
--- a/lagoonlatch/upstreams/messages.py
+++ b/lagoonlatch/upstreams/messages.py
@@ -27,7 +27,7 @@
 names and values."""
 
 _REFUSED_STATUS = 503
-_FIRST_FINAL_STATUS = 200
+_INTERIM_STATUSES = range(100, 200)
 _METHOD = re.compile(r"[A-Z]{1,32}")
 _TARGET = re.compile(r"/[\x21-\x7e]*")
 
@@ -92,7 +92,7 @@
 
     def _on_message_complete(self):
         super()._on_message_complete()
-        if self.get_code() >= _FIRST_FINAL_STATUS:
+        if self.get_code() not in _INTERIM_STATUSES:
             self.final = True
 
 
--- a/tests/entry/scripted.py
+++ b/tests/entry/scripted.py
@@ -11,6 +11,19 @@
     b"Content-Length: 5\r\n\r\nhello"
 )
 
+INVALID_STATUSES = (
+    *("000", "099", "100", "600", "999"),
+    *("-1", "abc", "2000", "0200", "20", ""),
+)
+"""Statuses that no final answer may have."""
+
+
+def make_answer_bytes(status, has_id=True, has_stamp=True):
+    """Return an answer with a body and the given status."""
+    fields = "Request-Id: r1\r\n" * has_id + "Server-Stamp: s\r\n" * has_stamp
+    head = f"HTTP/1.1 {status} X\r\n{fields}Content-Length: 5\r\n\r\n"
+    return head.encode() + b"hello"
+
 
 def reset_connection(sock):
     """Close the connection with a TCP reset instead of a FIN."""
--- a/tests/entry/test_exchange.py
+++ b/tests/entry/test_exchange.py
@@ -19,8 +19,10 @@
     UpstreamRequest,
 )
 from tests.entry.scripted import (
+    INVALID_STATUSES,
     OK,
     ScriptedUpstream,
+    make_answer_bytes,
     reset_connection,
     send_answer,
     stay_silent,
@@ -129,6 +131,21 @@
     assert not connection.is_reusable
 
 
+@pytest.mark.parametrize("has_stamp", [True, False])
+@pytest.mark.parametrize("has_id", [True, False])
+@pytest.mark.parametrize("status", INVALID_STATUSES)
+def test_answer_with_an_invalid_status_is_not_returned(
+    start_upstream, status, has_id, has_stamp
+):
+    # Answers with the statuses 600 to 999 were returned as if they were valid.
+    data = make_answer_bytes(status, has_id, has_stamp)
+    _, connection = start_upstream(send_answer(data), stay_silent())
+    outcome = connection.exchange(REQUEST, 1_000.0)
+    assert isinstance(outcome, Unknown)
+    assert outcome.kind is FailureKind.MALFORMED
+    assert not connection.is_reusable
+
+
 def test_answer_without_length_ends_with_connection(start_upstream):
     data = b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Stamp: s\r\n\r\nhello"
     _, connection = start_upstream(send_answer(data, "end"))
--- a/tests/entry/test_probes.py
+++ b/tests/entry/test_probes.py
@@ -9,7 +9,12 @@
 from lagoonlatch.entry.probes import Prober
 from lagoonlatch.steering.model import TrafficRules
 from lagoonlatch.steering.upstreams import UpstreamTable
-from tests.entry.scripted import ScriptedUpstream, reset_connection, send_answer
+from tests.entry.scripted import (
+    INVALID_STATUSES,
+    ScriptedUpstream,
+    reset_connection,
+    send_answer,
+)
 from tests.steering.samples import make_record, make_service
 
 HEALTHY = (
@@ -69,8 +74,16 @@
     assert check.blamed == []
 
 
-def test_a_request_is_not_blamed_for_an_upstream_that_rejects_the_check():
-    check = _Check(send_answer(FULL, "end"), send_answer(HEALTHY, "end"))
+@pytest.mark.parametrize("status", INVALID_STATUSES)
+def test_an_upstream_is_not_trusted_after_an_invalid_status(status):
+    answer = HEALTHY.replace(b"200", status.encode())
+    check = _Check(send_answer(answer, "end"))
+    assert not check.wait(0.2)
+
+
+@pytest.mark.parametrize("answer", [FULL, HEALTHY.replace(b"200", b"000")])
+def test_a_request_is_not_blamed_for_an_upstream_that_rejects_the_check(answer):
+    check = _Check(send_answer(answer, "end"), send_answer(HEALTHY, "end"))
     assert check.wait()
     assert check.blamed == []
 
--- a/tests/platform/test_connections.py
+++ b/tests/platform/test_connections.py
@@ -11,6 +11,7 @@
 from lagoonlatch.platform import connections
 from lagoonlatch.platform.connections import Connections
 from lagoonlatch.platform.endpoint import Endpoint
+from tests.entry.scripted import INVALID_STATUSES, make_answer_bytes
 
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
 
@@ -106,6 +107,15 @@
     assert max(pauses, default=0.0) < MAX_PAUSE_SECONDS
 
 
+@pytest.mark.parametrize("status", INVALID_STATUSES)
+def test_answer_of_the_store_with_an_invalid_status_is_no_answer(serve, status):
+    # Statuses 600 to 999 were returned, and the era of such an answer counted.
+    store = serve(make_answer_bytes(status))
+    outcome = store.call("GET", "/kv")
+    assert isinstance(outcome, Failure)
+    assert outcome.failure().sent
+
+
 def test_large_answer_of_the_store_is_read_whole(serve):
     body = b"x" * 2_000_000
     calls = serve(HEAD + b"Content-Length: %d\r\n\r\n" % len(body) + body)
--- a/tests/upstreams/test_http.py
+++ b/tests/upstreams/test_http.py
@@ -16,6 +16,12 @@
     UnknownReason,
     UpstreamRequest,
 )
+from tests.entry.scripted import (
+    INVALID_STATUSES,
+    ScriptedUpstream,
+    make_answer_bytes,
+    send_answer,
+)
 
 CLOCK = Clock()
 
@@ -70,6 +76,20 @@
     assert pool.open_count == 0
 
 
+@pytest.mark.parametrize("later_answer", [b"", make_answer_bytes("200")])
+@pytest.mark.parametrize("status", INVALID_STATUSES)
+def test_answer_with_an_invalid_status_is_unknown_and_its_connection_closed(
+    status, later_answer
+):
+    # Statuses 600 to 999 were returned, and 000 to 099 taken for interim answers.
+    upstream = ScriptedUpstream(send_answer(make_answer_bytes(status) + later_answer))
+    pool = make_pool(upstream.address)
+    outcome, _ = exchange(pool, make_request(request_id="r1", deadline=1_000.0))
+    upstream.stop()
+    assert outcome == Failure(Unknown(UnknownReason.MALFORMED_ANSWER))
+    assert pool.open_count == 0
+
+
 def test_late_answer_never_reaches_the_next_request(shared_instance):
     pool = make_pool(shared_instance.address)
     late = make_request("/ledger/x?behaviour=late:300", "late", deadline=100.0)
