Explain where an entry VM would send a request now

Operators could only reconstruct from logs, after the fact, why a request went to an upstream or was refused. `lagoonlatch where` asks a running VM, over GET /where of its metrics address: the route, the organisation, the allowance, the candidates in order with their states, the upstreams that are skipped and why, and what the decision would be now.

The explanation uses the same code as a real request. The choice of the refusal, the expected wait and the allowed regions move from the handler to steering/ unchanged. Placement.preview, Allowances.preview_consume and ColdStartLimiter.wait answer without counting anything, so that no token, slot or request to a cold upstream is consumed.

--- a/lagoonlatch/cli.py
+++ b/lagoonlatch/cli.py
@@ -53,6 +53,7 @@
     "drain": "lagoonlatch.operators.commands:drain",
     "load": "lagoonlatch.load.command:load",
     "explain": "lagoonlatch.operators.explain:explain",
+    "where": "lagoonlatch.operators.where:where",
     "version": "lagoonlatch.cli:version",
 }
 """Modules are loaded when their command is run, so that a daemon holds only its own."""
--- a/lagoonlatch/entry/handling.py
+++ b/lagoonlatch/entry/handling.py
@@ -37,14 +37,15 @@
     own_request_fields,
     retry_after,
 )
-from lagoonlatch.steering.admission import (
-    Admission,
-    retry_delay_after_limit,
-    retry_delay_after_rest,
-)
+from lagoonlatch.steering.admission import Admission
 from lagoonlatch.steering.allowances import Allowances
 from lagoonlatch.steering.crashes import CRASH_LIMIT, CrashQuarantine
-from lagoonlatch.steering.model import Organisation, Route, RouteKind
+from lagoonlatch.steering.model import (
+    Organisation,
+    Route,
+    RouteKind,
+    allowed_regions,
+)
 from lagoonlatch.steering.placement import Candidates, Placement, PlacementRequest
 from lagoonlatch.steering.queueing import RequestPriority, WaitingQueue
 from lagoonlatch.steering.retries import RetryBudget
@@ -271,7 +272,7 @@
             route=route,
             organisation=organisation,
             service=self._splitter.choose(route),
-            regions=_allowed_regions(route, organisation),
+            regions=allowed_regions(route, organisation),
             deadline=min(request.received + timeout, self._ends_at),
             fingerprint=_fingerprint(request, organisation),
         )
@@ -337,18 +338,10 @@
                 return answer
 
     def _refuse_without_slot(self, context: _RequestContext) -> CallerAnswer:
-        rest_times = self._placement.rest_times(self._placement_request(context))
-        if rest_times:
-            return self._give_up(
-                context, "upstreams rest", retry_delay_after_rest(rest_times)
-            )
-        limit_waits = self._placement.limit_waits(self._placement_request(context))
-        if limit_waits:
-            return self._give_up(
-                context, "upstreams limited", retry_delay_after_limit(limit_waits)
-            )
-        retry_delay = self._admission.retry_delay(context.route)
-        return self._give_up(context, "no room", retry_delay)
+        refusal = self._admission.refuse(
+            context.route, self._placement_request(context), self._placement
+        )
+        return self._give_up(context, refusal.reason, refusal.retry_delay)
 
     def _placement_request(self, context: _RequestContext) -> PlacementRequest:
         return PlacementRequest(
@@ -429,7 +422,7 @@
             has_claimed = True
             self._note_limit(context, candidates, upstream)
             if upstream is None:
-                expected = self._expected_wait(context.route, candidates)
+                expected = self._admission.expected_wait_for(context.route, candidates)
                 if expected > max_wait - waited or waited >= max_wait:
                     return None
                 with context.request.cancellation.interruptible():
@@ -446,24 +439,6 @@
             if is_granted:
                 return upstream
 
-    def _expected_wait(self, route: Route, candidates: Candidates) -> Millis:
-        """Return how long a request of `route` probably waits for a slot.
-
-        The first candidate without a rate limit decides; if all have one, the one
-        whose limit allows the request first.
-        """
-
-        def expected_wait(upstream: UpstreamState) -> Millis:
-            slot_wait = self._admission.expected_wait(
-                route, upstream.reported_ahead(), upstream.record.slots
-            )
-            return max(slot_wait, upstream.expected_limit_wait())
-
-        first = candidates.first_to_wait_for()
-        if first.rate_limit is None:
-            return expected_wait(first)
-        return min(map(expected_wait, candidates.upstreams))
-
     def _note_limit(
         self,
         context: _RequestContext,
@@ -636,20 +611,6 @@
         )
 
 
-def _allowed_regions(route: Route, organisation: Organisation | None) -> frozenset[str]:
-    """Return the regions that both the route and the organisation allow.
-
-    An empty set allows all regions. If the two have no region in common, the set holds
-    only an empty name, which matches no region.
-    """
-    home_regions = (
-        organisation.home_regions if organisation is not None else frozenset()
-    )
-    if not route.home_regions or not home_regions:
-        return route.home_regions or home_regions
-    return (route.home_regions & home_regions) or frozenset({""})
-
-
 def _fingerprint(request: CallerRequest, organisation: Organisation | None) -> str:
     """Return a digest that is the same if the caller sends the request again."""
     digest = xxhash.xxh3_64()
--- a/lagoonlatch/entry/http_endpoints.py
+++ b/lagoonlatch/entry/http_endpoints.py
@@ -5,9 +5,16 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
+import msgspec
 from gevent.pywsgi import WSGIServer
 
 from lagoonlatch.entry.metrics import METRICS_PATH, EntryMetrics
+from lagoonlatch.entry.placement_query import (
+    MAX_SHOWN_LENGTH,
+    WHERE_PATH,
+    InvalidQueryError,
+    read_placement_query,
+)
 from lagoonlatch.metrics import CONTENT_TYPE
 from lagoonlatch.platform.directory import (
     LOOKUP_PATH,
@@ -16,6 +23,7 @@
     read_lookup_query,
 )
 from lagoonlatch.platform.endpoint import Endpoint
+from lagoonlatch.steering.explanation import PlacementExplainer
 from lagoonlatch.steering.lookup import Lookup
 
 Responder = Callable[[dict[str, Any]], tuple[str, str, bytes]]
@@ -51,10 +59,14 @@
     return _serve(address, respond)
 
 
-def serve_metrics(address: str, metrics: EntryMetrics) -> WSGIServer:
-    """Start serving the metrics."""
+def serve_metrics(
+    address: str, metrics: EntryMetrics, explainer: PlacementExplainer
+) -> WSGIServer:
+    """Start serving the metrics and explanations of placements."""
 
     def respond(environ: dict[str, Any]) -> tuple[str, str, bytes]:
+        if environ["PATH_INFO"] == WHERE_PATH:
+            return _explain_placement(environ, explainer)
         if environ["PATH_INFO"] != METRICS_PATH:
             return "404 Not Found", "text/plain", b""
         return "200 OK", CONTENT_TYPE, metrics.render()
@@ -62,6 +74,23 @@
     return _serve(address, respond)
 
 
+def _explain_placement(
+    environ: dict[str, Any], explainer: PlacementExplainer
+) -> tuple[str, str, bytes]:
+    method = environ["REQUEST_METHOD"]
+    if method != "GET":
+        text = f"method {method[:MAX_SHOWN_LENGTH]!r} is not valid; valid: GET"
+        return "405 Method Not Allowed", "text/plain", text.encode()
+    try:
+        question = read_placement_query(
+            environ.get("QUERY_STRING", ""), environ.get("HTTP_AUTHORIZATION", "")
+        )
+    except InvalidQueryError as error:
+        return "400 Bad Request", "text/plain", str(error).encode()
+    body = msgspec.json.encode(explainer.explain(question))
+    return "200 OK", "application/json", body
+
+
 def _serve(address: str, respond: Responder) -> WSGIServer:
     def application(
         environ: dict[str, Any], start_response: Callable[..., Any]
--- a/lagoonlatch/entry/process.py
+++ b/lagoonlatch/entry/process.py
@@ -28,7 +28,7 @@
     TaskFailed,
 )
 from lagoonlatch.entry.facts import Facts
-from lagoonlatch.entry.handling import RequestHandler
+from lagoonlatch.entry.handling import UNREADY_RETRY_DELAY, RequestHandler
 from lagoonlatch.entry.http_endpoints import (
     serve_lookups,
     serve_metrics,
@@ -66,6 +66,7 @@
 from lagoonlatch.steering.allowances import Allowances
 from lagoonlatch.steering.cold_start import ColdStartLimiter
 from lagoonlatch.steering.crashes import CrashQuarantine
+from lagoonlatch.steering.explanation import PlacementExplainer
 from lagoonlatch.steering.holders import Holders
 from lagoonlatch.steering.homes import SlotHomes
 from lagoonlatch.steering.lookup import Lookup
@@ -307,6 +308,16 @@
             settings.region_by_data_centre.values(),
             self._cold_start_limiter.consume,
         )
+        self._explainer = PlacementExplainer(
+            settings.vm,
+            lambda: self._facts.rules,
+            self._upstream_table,
+            placement,
+            admission,
+            self._allowances,
+            self._cold_start_limiter,
+            UNREADY_RETRY_DELAY,
+        )
         self._waiting_queue = WaitingQueue(placement, clock)
         self._handler = RequestHandler(
             self._facts,
@@ -448,7 +459,8 @@
             self._settings.readiness_address, self._is_ready
         )
         if self._metrics_port:
-            serve_metrics(f"{callers.host}:{self._metrics_port}", self._metrics)
+            address = f"{callers.host}:{self._metrics_port}"
+            serve_metrics(address, self._metrics, self._explainer)
 
     def _serve_caller(self, sock: socket.socket, _address: tuple) -> None:
         connection = CallerConnection(
--- a/lagoonlatch/steering/admission.py
+++ b/lagoonlatch/steering/admission.py
@@ -10,9 +10,12 @@
 
 import random
 from collections.abc import Sequence
+from dataclasses import dataclass
 
 from lagoonlatch.clock import Millis
 from lagoonlatch.steering.model import Route
+from lagoonlatch.steering.placement import Candidates, Placement, PlacementRequest
+from lagoonlatch.steering.upstreams import UpstreamState
 
 DECREASE_WEIGHT = 0.1
 INCREASE_WEIGHT = 0.01
@@ -36,6 +39,14 @@
 again; a few times the duration of a request."""
 
 
+@dataclass(frozen=True, kw_only=True)
+class SlotRefusal:
+    """Why a request gets no slot, and when its caller should retry."""
+
+    reason: str
+    retry_delay: Millis
+
+
 class Admission:
     """Estimates the duration of requests and limits how long they wait."""
 
@@ -65,6 +76,38 @@
         duration = self._duration_by_route.get(route.id, 0.0)
         return ahead * duration / slots
 
+    def expected_wait_at(self, route: Route, upstream: UpstreamState) -> Millis:
+        """Return how long a request of `route` probably waits for `upstream`."""
+        slot_wait = self.expected_wait(
+            route, upstream.reported_ahead(), upstream.record.slots
+        )
+        return max(slot_wait, upstream.expected_limit_wait())
+
+    def expected_wait_for(self, route: Route, candidates: Candidates) -> Millis:
+        """Return how long a request of `route` probably waits for a slot.
+
+        The first candidate without a rate limit decides; if all have one, the one
+        whose limit allows the request first.
+        """
+        first = candidates.first_to_wait_for()
+        if first.rate_limit is None:
+            return self.expected_wait_at(route, first)
+        return min(self.expected_wait_at(route, u) for u in candidates.upstreams)
+
+    def refuse(
+        self, route: Route, request: PlacementRequest, placement: Placement
+    ) -> SlotRefusal:
+        """Return how a request that gets no slot is refused."""
+        rest_times = placement.rest_times(request)
+        if rest_times:
+            delay = retry_delay_after_rest(rest_times)
+            return SlotRefusal(reason="upstreams rest", retry_delay=delay)
+        limit_waits = placement.limit_waits(request)
+        if limit_waits:
+            delay = retry_delay_after_limit(limit_waits)
+            return SlotRefusal(reason="upstreams limited", retry_delay=delay)
+        return SlotRefusal(reason="no room", retry_delay=self.retry_delay(route))
+
     def retry_delay(self, route: Route) -> Millis:
         """Return the delay after which a refused caller is likely to be accepted."""
         duration = self._duration_by_route.get(route.id, route.goal)
--- a/lagoonlatch/steering/allowances.py
+++ b/lagoonlatch/steering/allowances.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import copy
 import math
 from collections.abc import Callable, Mapping
 
@@ -149,6 +150,15 @@
         self._refill(bucket)
         return bucket.level >= 1.0
 
+    def preview_consume(self, organisation_id: str) -> Millis | None:
+        """Return what `consume` would return now, without any effect."""
+        bucket = self._buckets_by_id.get(organisation_id)
+        if bucket is None:
+            return None
+        bucket = copy.copy(bucket)
+        self._refill(bucket)
+        return self._consume_token(bucket)
+
     def refund(self, organisation_id: str) -> None:
         """Put back the token of a request that reached no upstream."""
         bucket = self._buckets_by_id.get(organisation_id)
--- a/lagoonlatch/steering/cold_start.py
+++ b/lagoonlatch/steering/cold_start.py
@@ -66,21 +66,35 @@
         """Return whether a request may be sent to a cold upstream now, and count it."""
         now = self._clock.now()
         upstream_id = upstream.record.id
-        service = self._services_by_id.get(upstream.record.service)
-        if service is None or service.cold_rate <= 0.0:
-            return False
         if now < self._next_request_at_by_upstream.get(upstream_id, now):
             return False
-        senders = ranked(upstream_id, self._candidates())[:MAX_SENDERS]
-        if self._own_id not in senders:
+        rate = self._own_rate(upstream)
+        if rate <= 0.0:
             return False
-        rate = service.cold_rate * USED_FRACTION / len(senders)
         self._next_request_at_by_upstream[upstream_id] = now + MILLIS_PER_SECOND / rate
         # Removes old times now and then, so that they don't accumulate.
         if len(self._next_request_at_by_upstream) > 1_000:
             self._prune(now)
         return True
 
+    def wait(self, upstream: UpstreamState) -> Millis | None:
+        """Return how long this VM may send nothing; None if it is no sender."""
+        if self._own_rate(upstream) <= 0.0:
+            return None
+        now = self._clock.now()
+        next_at = self._next_request_at_by_upstream.get(upstream.record.id, now)
+        return max(next_at - now, 0.0)
+
+    def _own_rate(self, upstream: UpstreamState) -> float:
+        """Return the requests a second that this VM may send to a cold upstream."""
+        service = self._services_by_id.get(upstream.record.service)
+        if service is None or service.cold_rate <= 0.0:
+            return 0.0
+        senders = ranked(upstream.record.id, self._candidates())[:MAX_SENDERS]
+        if self._own_id not in senders:
+            return 0.0
+        return service.cold_rate * USED_FRACTION / len(senders)
+
     def _candidates(self) -> set[str]:
         candidates = {*self._list_present(), self._own_id}
         if self._may_miss_vms():
--- a/lagoonlatch/steering/model.py
+++ b/lagoonlatch/steering/model.py
@@ -107,6 +107,20 @@
     home_regions: frozenset[str] = frozenset()
 
 
+def allowed_regions(route: Route, organisation: Organisation | None) -> frozenset[str]:
+    """Return the regions that both the route and the organisation allow.
+
+    An empty set allows all regions. If the two have no region in common, the set holds
+    only an empty name, which matches no region.
+    """
+    home_regions = (
+        organisation.home_regions if organisation is not None else frozenset()
+    )
+    if not route.home_regions or not home_regions:
+        return route.home_regions or home_regions
+    return (route.home_regions & home_regions) or frozenset({""})
+
+
 @dataclass(frozen=True, kw_only=True)
 class Service:
     """Settings of all upstreams of a service.
--- a/lagoonlatch/steering/placement.py
+++ b/lagoonlatch/steering/placement.py
@@ -13,6 +13,7 @@
 
 from __future__ import annotations
 
+import copy
 import math
 import random
 from collections import defaultdict
@@ -173,6 +174,12 @@
             is_first = False
         return fallback if waited >= candidates.affinity_wait else None
 
+    def preview(self, may_send_cold: Callable[[UpstreamState], bool]) -> Placement:
+        """Return a copy whose `pick` counts no request to a cold upstream."""
+        placement = copy.copy(self)
+        placement._consume_cold_request = may_send_cold
+        return placement
+
     def rest_times(self, request: PlacementRequest) -> list[Millis]:
         """Return the remaining rest times of the upstreams that may be used later.
 
--- a/lagoonlatch/steering/upstreams.py
+++ b/lagoonlatch/steering/upstreams.py
@@ -431,13 +431,17 @@
         """Return whether an upstream may get requests."""
         return state.rest_left() <= 0.0 and self._is_usable_ignoring_rest(state)
 
+    def is_evacuated(self, state: UpstreamState) -> bool:
+        """Return whether the data centre of an upstream is evacuated."""
+        return state.record.data_centre in self._evacuated
+
     def _is_usable_ignoring_rest(self, state: UpstreamState) -> bool:
         return not (
             state.is_removed
             or state.record.is_draining
             or state.is_suspect
             or state.is_leaving
-            or state.record.data_centre in self._evacuated
+            or self.is_evacuated(state)
         )
 
     def _add(
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -105,6 +105,7 @@
         (["status", "--output=x"], {}, "choose from 'text', 'json'"),
         (["events"], {"LAGOONLATCH_PLATFORM": "x"}, "--platform 'x' is no IP:port"),
         (["check", "/no/such/file"], {}, "/no/such/file: No such file"),
+        (["where", "x", "h", "/"], {}, "vm 'x' is no IP:port"),
         (["drain", "v"], {}, "give --platform IP:port or --vm IP:port"),
     ],
 )
