Pace upstreams that start or recover by their responses

An upstream got half of the allowed rate while it was cold and its full load at once afterwards, also after a suspicion. One that is slow for longer than announced was flooded.

Each VM now bounds its concurrent requests at such an upstream, starting at 1, by the outcomes of its requests. As 61 to 76 VMs with one request each are a full load, the home VM also bounds the slots that it grants, by the time for which they are held. The cold rate stays a cap.

--- a/tests/entry/test_attempts.py
+++ b/tests/entry/test_attempts.py
@@ -24,6 +24,7 @@
 from lagoonlatch.standins.manual_clock import ManualClock
 from lagoonlatch.steering.admission import Admission
 from lagoonlatch.steering.crashes import CrashQuarantine
+from lagoonlatch.steering.pacing import WarmDurations
 from tests.steering.samples import make_record, make_upstream_table
 
 REQUEST = UpstreamRequest(
@@ -137,6 +138,7 @@
                 lambda *report: self.limit_reports.append(report),
             ),
             EntryMetrics("vm-0", "n-a"),
+            WarmDurations(),
             self.clock,
         )
 
