Refuse requests that crash upstreams in waves

Crashes that overlap count once, so a wave counts once. The quarantine kept the eight latest crashes, counted or not, and a third wave displaced the first, so the count stayed at two. Nothing held back the copies of a wave before the third counted crash.

From the third crash on, one copy at a time may run and the others get 503 and Retry-After at once. VMs take turns with these trials and report them in the new field trial_left of Suspect. Reports are repeated, since a datagram may be lost. Crashes that don't count are displaced first. A crash of a copy that was sent before an equal request was answered is no evidence.

The test of the displaced crashes and that of a waiting copy fail on the code before.

--- a/lagoonlatch/entry/attempts.py
+++ b/lagoonlatch/entry/attempts.py
@@ -258,7 +258,7 @@
             return
         self._report_suspect(fingerprint)
         if self._quarantine.refused_for(fingerprint):
-            deaths = self._quarantine.count(fingerprint)
+            deaths = len(self._quarantine.crashes(fingerprint))
             emit(RequestQuarantined(fingerprint=fingerprint, deaths=deaths))
 
     def _update_load(self, upstream: UpstreamState, answer: UpstreamAnswer) -> None:
--- a/lagoonlatch/entry/events.py
+++ b/lagoonlatch/entry/events.py
@@ -84,7 +84,7 @@
 
 @log_event(logging.WARNING)
 class RequestQuarantined(LogEvent):
-    """A request has ended several upstreams and is refused for a while."""
+    """A request has ended several upstreams, and at most one copy at a time may run."""
 
     fingerprint: str
     deaths: int
--- a/lagoonlatch/entry/handling.py
+++ b/lagoonlatch/entry/handling.py
@@ -39,7 +39,7 @@
 )
 from lagoonlatch.steering.admission import Admission
 from lagoonlatch.steering.allowances import Allowances
-from lagoonlatch.steering.crashes import CRASH_LIMIT, CrashQuarantine
+from lagoonlatch.steering.crashes import CrashQuarantine
 from lagoonlatch.steering.model import (
     Organisation,
     Route,
@@ -65,6 +65,10 @@
 """Delay after which a caller retries a download for whose answer this VM has no memory;
 its next connection probably leads to another VM."""
 
+CRASH_NOTICE_TIME: Millis = 2_000.0
+"""Time after the end of a request within which a crash of its upstream is noticed;
+allows for a health check."""
+
 _RETRIED_STATUSES = frozenset({500, 502, 503, 504})
 
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -97,6 +101,8 @@
         Identifies the request; the same if the caller sends the request again.
     limited_by : str
         Id of the first upstream whose rate limit kept the request away.
+    is_trial : bool
+        Whether it is the one copy of a suspect request that may run.
     """
 
     request: CallerRequest
@@ -114,6 +120,7 @@
     waited: Millis = 0.0
     fingerprint: str = ""
     limited_by: str = ""
+    is_trial: bool = False
 
     def object_name(self) -> str:
         """Return the name of the request's object; empty if it has no affinity."""
@@ -174,6 +181,8 @@
     ----------
     borrow : callable
         Borrows tokens for an organisation; returns whether a token is available then.
+    report_suspect : callable
+        Reports to the other VMs what this VM knows of the request with a fingerprint.
     """
 
     def __init__(
@@ -191,7 +200,9 @@
         answer_memory_limit: AnswerMemoryLimit,
         metrics: EntryMetrics,
         clock: Clock,
+        report_suspect: Callable[[str], None] = lambda fingerprint: None,
     ) -> None:
+        self._report_suspect = report_suspect
         self._facts = facts
         self._placement = placement
         self._admission = admission
@@ -276,9 +287,24 @@
             deadline=min(request.received + timeout, self._ends_at),
             fingerprint=_fingerprint(request, organisation),
         )
-        remaining_quarantine = self._quarantine.admit(context.fingerprint)
+        time_to_outcome = context.deadline - self._clock.now() + CRASH_NOTICE_TIME
+        remaining_quarantine = self._quarantine.admit(
+            context.fingerprint, time_to_outcome
+        )
         if remaining_quarantine > 0.0:
             return self._give_up(context, "quarantined", remaining_quarantine)
+        context.is_trial = self._quarantine.is_suspect(context.fingerprint)
+        if not context.is_trial:
+            return self._serve_unless_left(context)
+        self._report_suspect(context.fingerprint)
+        try:
+            return self._serve_unless_left(context)
+        finally:
+            if not context.may_have_run:
+                self._quarantine.end_trial(context.fingerprint)
+
+    def _serve_unless_left(self, context: _RequestContext) -> CallerAnswer:
+        route = context.route
         if route.kind is RouteKind.DOWNLOAD and self._answer_memory_limit.is_congested:
             return self._give_up(context, "no memory", ANSWER_MEMORY_RETRY_DELAY)
         try:
@@ -330,6 +356,15 @@
             if upstream is None:
                 return self._refuse_without_slot(context)
             try:
+                if not context.is_trial and self._quarantine.is_suspect(
+                    context.fingerprint
+                ):
+                    # It became suspect while this copy waited.
+                    return self._give_up(
+                        context,
+                        "quarantined",
+                        self._quarantine.refused_for(context.fingerprint),
+                    )
                 answer = self._run_attempt(context, upstream)
             finally:
                 self._slot_client.release(upstream)
@@ -499,6 +534,7 @@
                     return None
                 return self._give_up(context, "turned away")
             case Unknown(kind=FailureKind.CALLER_LEFT):
+                context.may_have_run = True
                 raise CallerLeftError
             case Unknown(kind=kind):
                 context.may_have_run = True
@@ -537,7 +573,7 @@
         return (
             context.route.is_idempotent
             and context.attempts < context.route.max_attempts
-            and self._quarantine.count(context.fingerprint) < CRASH_LIMIT
+            and not self._quarantine.is_suspect(context.fingerprint)
         )
 
     def _give_up(
--- a/lagoonlatch/entry/peer.thrift
+++ b/lagoonlatch/entry/peer.thrift
@@ -211,6 +211,8 @@
   4: optional list<Crash> crashes,
   // A request got a whole answer, so that earlier crashes no longer count.
   5: optional bool cleared,
+  // Milliseconds for which one copy of the request may still run.
+  6: optional double trial_left,
 }
 
 // Exactly one field is set, apart from `spread`, which accompanies a batch or patch
--- a/lagoonlatch/entry/peers.py
+++ b/lagoonlatch/entry/peers.py
@@ -18,7 +18,7 @@
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
 from thrift.TSerialization import deserialize, serialize
 
-from lagoonlatch.clock import Clock, Millis
+from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
 from lagoonlatch.entry.events import DatagramLost, DatagramUnreadable, NewsTaken
 from lagoonlatch.entry.generated.ttypes import (
     Ask,
@@ -89,6 +89,10 @@
 MAX_STORE_AGE_MILLIS = 2**31 - 1
 """Largest age of the store's last answer that the field of a heartbeat can hold."""
 
+SUSPECT_REPORT_PAUSES: tuple[Millis, ...] = (100.0, 200.0, 300.0, 1_000.0)
+"""Pauses between copies of a report of a suspect request. Most arrive in the part of a
+turn in which no trial may start; the last one allows for a short loss of contact."""
+
 DATAGRAMS_BETWEEN_YIELDS = 32
 """Number of datagrams that are read before other tasks run."""
 
@@ -196,6 +200,7 @@
         self._clock = clock
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._address_by_vm: dict[str, tuple[str, int]] = {}
+        self._reporter_by_fingerprint: dict[str, gevent.Greenlet] = {}
         lenders = Lenders(
             holders, lambda vm: neighbours.find_ready(vm) is not None, clock
         )
@@ -338,6 +343,8 @@
         # A VM of an earlier build may count one crash several times.
         unnamed = Crash(upstream="", born=0.0, sent_at=now, ended_at=now)
         self._quarantine.add(suspect.fingerprint, crashes or [unnamed])
+        if suspect.trial_left:
+            self._quarantine.note_trial(suspect.fingerprint, suspect.trial_left)
 
     @_handles("claim")
     def _handle_claim(self, claim: Claim, origin: Origin) -> None:
@@ -380,8 +387,25 @@
     def report_suspect(self, fingerprint: str) -> None:
         """Report to all other VMs the crashes that a request may have caused.
 
-        A request without any is reported as cleared.
+        A request without any is reported as cleared. The report is repeated, since a
+        datagram may be lost.
         """
+        previous = self._reporter_by_fingerprint.pop(fingerprint, None)
+        if previous is not None:
+            previous.kill(block=False)
+        self._send_suspect(fingerprint)
+        self._reporter_by_fingerprint[fingerprint] = gevent.spawn(
+            self._repeat_suspect, fingerprint
+        )
+
+    def _repeat_suspect(self, fingerprint: str) -> None:
+        for pause in SUSPECT_REPORT_PAUSES:
+            gevent.sleep(pause / MILLIS_PER_SECOND)
+            self._send_suspect(fingerprint)
+        if self._reporter_by_fingerprint.get(fingerprint) is gevent.getcurrent():
+            del self._reporter_by_fingerprint[fingerprint]
+
+    def _send_suspect(self, fingerprint: str) -> None:
         now = self._clock.now()
         crashes = self._quarantine.crashes(fingerprint)
         suspect = Suspect(
@@ -398,6 +422,7 @@
                 for crash in crashes
             ],
             cleared=not crashes,
+            trial_left=self._quarantine.trial_left(fingerprint),
         )
         data = serialize(Datagram(suspect=suspect), _PROTOCOL)
         self._send_bytes_to(self._neighbours.all(), data)
--- a/lagoonlatch/entry/process.py
+++ b/lagoonlatch/entry/process.py
@@ -225,7 +225,11 @@
         self._allowances = Allowances(
             self._holders.share, settings.is_first_start, clock
         )
-        quarantine = CrashQuarantine(clock)
+        quarantine = CrashQuarantine(
+            clock,
+            settings.vm,
+            lambda: [vm.id for vm in self._neighbours.all()],
+        )
         self._slot_homes = SlotHomes(
             self._list_slot_homes, settings.region_by_data_centre, clock
         )
@@ -348,6 +352,7 @@
             answer_memory_limit,
             self._metrics,
             clock,
+            self._peers.report_suspect,
         )
         self._lookup = Lookup(
             self._ready_vms,
--- a/lagoonlatch/steering/crashes.py
+++ b/lagoonlatch/steering/crashes.py
@@ -8,19 +8,27 @@
 that counts. An upstream that falls silent may have been down before, so the time at
 which it was last heard decides instead.
 
-At `CRASH_LIMIT` the request is refused for a time that doubles with each further crash.
-After that time each VM lets one request at a time run: it either crashes the upstream,
-which counts, or is answered, which clears the suspicion at all VMs.
+Copies of a request that are sent together crash upstreams together too, and count
+once. Once `CRASH_LIMIT` upstreams have crashed, whether or not all of these crashes
+count, the request is suspect: one copy at a time, a trial, may run, and all others are
+refused. A trial either crashes the upstream, which counts, or is answered, which clears
+the suspicion at all VMs. At `CRASH_LIMIT` crashes that count, trials pause for a time
+that doubles with each further one. A crash of an upstream that was sent the request
+before an equal request got a whole answer is no evidence.
+
+The VMs take turns with trials, in an order that each knows without communication. The
+VM that starts a trial tells the others, which start none until it must have ended.
 """
 
 from __future__ import annotations
 
 import math
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 
 from lagoonlatch.clock import Clock, Millis
+from lagoonlatch.membership.rendezvous import ranked
 
 CRASH_LIMIT = 3
 """Crashes after which a request is refused. A harmless request may be running at two
@@ -34,7 +42,19 @@
 """How long a crash is remembered."""
 
 TRIAL_TIME: Millis = 10_000.0
-"""How long equal requests are refused while one is let through."""
+"""How long equal requests are refused while one is let through, unless its VM states
+the time."""
+
+MAX_TRIAL_TIME: Millis = 60_000.0
+"""Longest trial of another VM that is waited for."""
+
+TURN_TIME: Millis = 1_000.0
+TURN_OPEN_TIME: Millis = 350.0
+"""Length of a VM's turn, and of the part in which it may start a trial. In the rest the
+other VMs learn of the trial, also if some of the reports are lost."""
+
+FIRST_TURN_DELAY: Millis = 1_000.0
+"""Time between a crash and the first turn, in which all VMs learn of the crash."""
 
 MAX_CRASHES = 8
 """Crashes that are remembered for a request; the refusal is the longest before that."""
@@ -78,11 +98,27 @@
 
 
 class CrashQuarantine:
-    """Crashes by the fingerprint of the requests that they ended."""
+    """Crashes by the fingerprint of the requests that they ended.
+
+    Parameters
+    ----------
+    own_vm : str
+        Id of this VM.
+    list_vms : callable
+        Returns the ids of the other VMs.
+    """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        own_vm: str = "",
+        list_vms: Callable[[], Iterable[str]] = tuple,
+    ) -> None:
         self._clock = clock
+        self._own_vm = own_vm
+        self._list_vms = list_vms
         self._suspicion_by_fingerprint: OrderedDict[str, _Suspicion] = OrderedDict()
+        self._answered_at_by_fingerprint: OrderedDict[str, Millis] = OrderedDict()
 
     def add(self, fingerprint: str, crashes: Iterable[Crash]) -> bool:
         """Add crashes that this or another VM noticed; return whether any was unknown.
@@ -93,7 +129,10 @@
         self._suspicion_by_fingerprint.move_to_end(fingerprint)
         known = suspicion.crash_by_run
         has_new = False
+        answered_at = self._answered_at_by_fingerprint.get(fingerprint, -math.inf)
         for crash in crashes:
+            if crash.sent_at < answered_at:
+                continue
             same = known.get(crash.run)
             has_new = has_new or same is None
             if same is not None:
@@ -104,14 +143,25 @@
                 )
             known[crash.run] = crash
         while len(known) > MAX_CRASHES:
-            del known[min(known.values(), key=lambda crash: crash.ended_at).run]
+            counted = {crash.run for crash in _select_counted(known.values())}
+            # Crashes that don't count go first; they mustn't displace those that do.
+            evicted = min(
+                known.values(), key=lambda crash: (crash.run in counted, crash.ended_at)
+            )
+            del known[evicted.run]
         while len(self._suspicion_by_fingerprint) > MAX_FINGERPRINTS:
             self._suspicion_by_fingerprint.popitem(last=False)
         return has_new
 
     def clear(self, fingerprint: str) -> bool:
         """Forget a request that got a whole answer; return whether it was suspected."""
-        return self._suspicion_by_fingerprint.pop(fingerprint, None) is not None
+        suspicion = self._suspicion_by_fingerprint.pop(fingerprint, None)
+        if suspicion is not None or fingerprint in self._answered_at_by_fingerprint:
+            self._answered_at_by_fingerprint[fingerprint] = self._clock.now()
+            self._answered_at_by_fingerprint.move_to_end(fingerprint)
+        while len(self._answered_at_by_fingerprint) > MAX_FINGERPRINTS:
+            self._answered_at_by_fingerprint.popitem(last=False)
+        return suspicion is not None
 
     def crashes(self, fingerprint: str) -> list[Crash]:
         """Return the crashes that are remembered for a request, in their order."""
@@ -123,47 +173,107 @@
 
     def count(self, fingerprint: str) -> int:
         """Return the number of crashes that are evidence against a request."""
-        count, last_ended_at = 0, -math.inf
-        for crash in self.crashes(fingerprint):
-            if crash.sent_at >= last_ended_at:
-                count, last_ended_at = count + 1, crash.ended_at
-        return count
+        return len(_select_counted(self.crashes(fingerprint)))
+
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Return whether only one copy of a request at a time may run."""
+        return len(self.crashes(fingerprint)) >= CRASH_LIMIT
 
     def refused_for(self, fingerprint: str) -> Millis:
         """Return how long a request is still refused; 0 if it may run."""
-        suspicion = self._find(fingerprint)
-        if suspicion is None:
-            return 0.0
-        count = self.count(fingerprint)
-        if count < CRASH_LIMIT:
+        crashes = self.crashes(fingerprint)
+        if len(crashes) < CRASH_LIMIT:
             return 0.0
-        duration = min(
-            FIRST_REFUSAL_TIME * 2.0 ** (count - CRASH_LIMIT), MAX_REFUSAL_TIME
-        )
-        last_crash = self.crashes(fingerprint)[-1]
-        until = max(last_crash.ended_at + duration, suspicion.trial_until)
-        return max(until - self._clock.now(), 0.0)
-
-    def admit(self, fingerprint: str) -> Millis:
+        now = self._clock.now()
+        trial_until = self._suspicion_by_fingerprint[fingerprint].trial_until
+        turns_from = crashes[-1].ended_at + _refusal_time(crashes)
+        wait = max(trial_until - now, turns_from - now, 0.0)
+        return wait + self._turn_wait(fingerprint, now + wait - turns_from)
+
+    def admit(self, fingerprint: str, max_duration: Millis = TRIAL_TIME) -> Millis:
         """Return how long a request is refused; 0 if it may run now.
 
-        Of the requests that were refused, one at a time may run.
+        Of the copies of a suspect request, one at a time may run.
+
+        Parameters
+        ----------
+        max_duration : Millis
+            Time after which the outcome of a trial is known.
         """
         refused_for = self.refused_for(fingerprint)
-        if refused_for <= 0.0 and self.count(fingerprint) >= CRASH_LIMIT:
+        if refused_for <= 0.0 and self.is_suspect(fingerprint):
             suspicion = self._suspicion_by_fingerprint[fingerprint]
-            suspicion.trial_until = self._clock.now() + TRIAL_TIME
+            suspicion.trial_until = self._clock.now() + max_duration
         return refused_for
 
+    def trial_left(self, fingerprint: str) -> Millis:
+        """Return how long the trial of a request may still take; 0 without one."""
+        suspicion = self._find(fingerprint)
+        if suspicion is None:
+            return 0.0
+        return max(suspicion.trial_until - self._clock.now(), 0.0)
+
+    def note_trial(self, fingerprint: str, left: Millis) -> None:
+        """Start no trial of a request while another VM runs one."""
+        suspicion = self._find(fingerprint)
+        if suspicion is not None:
+            until = self._clock.now() + min(left, MAX_TRIAL_TIME)
+            suspicion.trial_until = max(suspicion.trial_until, until)
+
+    def end_trial(self, fingerprint: str) -> None:
+        """End the trial of a request that no upstream has run."""
+        suspicion = self._find(fingerprint)
+        if suspicion is not None:
+            suspicion.trial_until = -math.inf
+
+    def _turn_wait(self, fingerprint: str, elapsed: Millis) -> Millis:
+        """Return how long after `elapsed` this VM may start a trial.
+
+        Parameters
+        ----------
+        elapsed : Millis
+            Time since the turns began.
+        """
+        vms = ranked(fingerprint, {self._own_vm, *self._list_vms()})
+        if len(vms) == 1:
+            return 0.0
+        own_turn = FIRST_TURN_DELAY + vms.index(self._own_vm) * TURN_TIME
+        period = len(vms) * TURN_TIME
+        if elapsed < own_turn:
+            return own_turn - elapsed
+        since_turn = (elapsed - own_turn) % period
+        return 0.0 if since_turn < TURN_OPEN_TIME else period - since_turn
+
     def _find(self, fingerprint: str) -> _Suspicion | None:
         suspicion = self._suspicion_by_fingerprint.get(fingerprint)
         if suspicion is None:
             return None
         oldest = self._clock.now() - MEMORY_TIME
+        # One without crashes stays: other VMs may suspect the request, and learn of
+        # its next answer.
+        had_crashes = bool(suspicion.crash_by_run)
         for crash in list(suspicion.crash_by_run.values()):
             if crash.ended_at <= oldest:
                 del suspicion.crash_by_run[crash.run]
-        if not suspicion.crash_by_run:
+        if had_crashes and not suspicion.crash_by_run:
             del self._suspicion_by_fingerprint[fingerprint]
-            return None
-        return suspicion
+        return suspicion if suspicion.crash_by_run else None
+
+
+def _select_counted(crashes: Iterable[Crash]) -> list[Crash]:
+    """Return the crashes that are evidence, each sent after the previous one ended."""
+    counted: list[Crash] = []
+    for crash in sorted(crashes, key=lambda crash: crash.ended_at):
+        if not counted or crash.sent_at >= counted[-1].ended_at:
+            counted.append(crash)
+    return counted
+
+
+def _refusal_time(crashes: list[Crash]) -> Millis:
+    """Return how long after the last of `crashes` there are no trials."""
+    counted = _select_counted(crashes)
+    if len(counted) < CRASH_LIMIT:
+        return 0.0
+    third = crashes[CRASH_LIMIT - 1]
+    further = sum(crash.ended_at > third.ended_at for crash in counted)
+    return min(FIRST_REFUSAL_TIME * 2.0**further, MAX_REFUSAL_TIME)
--- a/tests/entry/test_handling.py
+++ b/tests/entry/test_handling.py
@@ -404,6 +404,26 @@
     assert harness.send_request().status == 200
 
 
+def test_copy_that_waits_while_its_request_becomes_suspect_is_not_sent():
+    """A copy that was admitted before the third crash may wait for seconds."""
+    harness = HandlerHarness(
+        Answered(make_answer()), NotRun("", True), RESET, max_attempts=3
+    )
+    harness.send_request()
+    run = harness.attempts.run
+
+    def run_while_others_crash(*args):
+        crash_in_turn(harness, "u1", "u2", "u3")
+        return run(*args)
+
+    harness.attempts.run = run_while_others_crash
+    answer = harness.send_request()
+    assert answer.status == 503
+    assert len(harness.tried_upstreams()) == 2
+    retry_after = float(dict(answer.headers)[b"Retry-After"])
+    assert retry_after == FIRST_REFUSAL_TIME / 1_000.0
+
+
 def test_request_on_trial_is_not_retried_at_another_upstream():
     harness = HandlerHarness(*[RESET] * 3, Answered(make_answer()), max_attempts=2)
     harness.send_request()
--- a/tests/entry/test_peers.py
+++ b/tests/entry/test_peers.py
@@ -3,6 +3,7 @@
 import os
 import random
 
+import gevent
 import pytest
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
 from thrift.TSerialization import serialize
@@ -14,7 +15,7 @@
 from lagoonlatch.entry.peers import PeerLink
 from lagoonlatch.standins.manual_clock import ManualClock
 from lagoonlatch.steering.allowances import Allowances
-from lagoonlatch.steering.crashes import Crash, CrashQuarantine
+from lagoonlatch.steering.crashes import FIRST_REFUSAL_TIME, Crash, CrashQuarantine
 from lagoonlatch.steering.holders import Holders
 from lagoonlatch.steering.peers import PeerTable
 from lagoonlatch.steering.watchers import Standing
@@ -186,6 +187,22 @@
     assert here._quarantine.count("f") == 0
 
 
+def test_report_of_a_trial_is_repeated_and_holds_back_other_vms():
+    """Without the repetition a lost datagram would let two copies run at once."""
+    here, there = make_link(CapturingNeighbours()), make_link(CapturingNeighbours())
+    for number in range(3):
+        add_crash(there, f"u{number}")
+    there._clock.advance(FIRST_REFUSAL_TIME)
+    assert there._quarantine.admit("f", 4_000.0) == 0.0
+    sent = []
+    there._send_bytes = lambda data, _address: sent.append(data)
+    there.report_suspect("f")
+    gevent.sleep(0.2)
+    assert len(sent) == 2
+    here.handle(sent[1], SOURCE)
+    assert here._quarantine.refused_for("f") == pytest.approx(4_000.0)
+
+
 def test_reports_of_an_earlier_build_count_as_one_crash():
     """An earlier build counts one crash once for each request that it ended."""
     link = make_link()
--- a/tests/steering/test_crashes.py
+++ b/tests/steering/test_crashes.py
@@ -1,9 +1,14 @@
 """Evidence against requests that upstreams were running when they crashed."""
 
+import heapq
+import itertools
+import random
+
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from lagoonlatch.entry.peers import SUSPECT_REPORT_PAUSES
 from lagoonlatch.standins.manual_clock import ManualClock
 from lagoonlatch.steering.crashes import (
     CRASH_LIMIT,
@@ -175,3 +180,120 @@
         vm.see(upstream, float(born), 90.0, 100.0 + ended_after)
     vm.clock.advance(200.0)
     assert vm.quarantine.count("f") == (1 if crashes else 0)
+
+
+def test_crashes_of_copies_that_are_sent_together_do_not_displace_each_other(vm):
+    """Two waves of four copies took all the memory, so that the count stayed at two."""
+    for wave in range(CRASH_LIMIT):
+        sent_at = vm.clock.now()
+        vm.clock.advance(20.0)
+        for number in range(4):
+            vm.see(f"u{wave}-{number}", 1.0, sent_at, vm.clock.now())
+    assert vm.quarantine.count("f") == CRASH_LIMIT
+    assert vm.quarantine.refused_for("f") >= FIRST_REFUSAL_TIME
+
+
+def test_crash_of_a_copy_that_was_sent_before_an_answer_is_no_evidence(vm):
+    """Faulty upstreams made a request suspect that others answered all the time."""
+    sent_at = vm.clock.now()
+    vm.crash("u0")
+    assert vm.quarantine.clear("f")
+    for number in range(1, 5):
+        vm.see(f"u{number}", 1.0, sent_at, vm.clock.now())
+    assert not vm.quarantine.is_suspect("f")
+    assert vm.quarantine.clear("f")
+    vm.crash("u6")
+    assert vm.quarantine.count("f") == 1
+
+
+class Fleet:
+    """VMs whose reports may be lost; each request crashes its upstream."""
+
+    def __init__(self, vm_count, ran, noticed_after, seed):
+        self.clock = ManualClock()
+        self.random = random.Random(seed)
+        self.ran, self.noticed_after = ran, noticed_after
+        names = [f"vm-{number}" for number in range(vm_count)]
+        self.vms = [CrashQuarantine(self.clock, name, lambda: names) for name in names]
+        self.events, self.numbers = [], itertools.count()
+        self.sent_at = []
+
+    def later(self, delay, action, *args):
+        entry = (self.clock.now() + delay, next(self.numbers), action, args)
+        heapq.heappush(self.events, entry)
+
+    def run(self):
+        while self.events:
+            at, _, action, args = heapq.heappop(self.events)
+            self.clock.advance(at - self.clock.now())
+            action(*args)
+
+    def send(self, vm):
+        if vm.admit("f", self.ran + 2_000.0) > 0.0:
+            return
+        now = self.clock.now()
+        self.sent_at.append(now)
+        name = f"u{len(self.sent_at)}"
+        crash = Crash(upstream=name, born=1.0, sent_at=now, ended_at=now + self.ran)
+        if vm.is_suspect("f"):
+            self.report(vm)
+        self.later(self.ran + self.noticed_after, self.notice, vm, crash)
+
+    def notice(self, vm, crash):
+        if vm.add("f", [crash]):
+            self.report(vm)
+
+    def report(self, vm):
+        delays = list(itertools.accumulate(SUSPECT_REPORT_PAUSES, initial=0.0))
+        for other in self.vms:
+            # One of the copies before the next turn arrives.
+            kept = self.random.randrange(len(delays) - 1)
+            for number, delay in enumerate(delays):
+                if number == kept or self.random.random() < 0.5:
+                    self.later(delay, self.transmit, vm, other)
+
+    def transmit(self, vm, other):
+        self.later(20.0, other.add, "f", vm.crashes("f"))
+        self.later(20.0, other.note_trial, "f", vm.trial_left("f"))
+
+
+@settings(max_examples=40, deadline=None)
+@given(
+    st.integers(1, 6),
+    st.integers(1, 8),
+    st.floats(10.0, 3_000.0),
+    st.floats(0.0, 1_000.0),
+    st.integers(0, 1_000_000),
+)
+def test_at_most_three_upstreams_run_a_bad_request_after_contact(
+    vm_count, copies, ran, noticed_after, seed
+):
+    """Copies that are sent together must not count as one crash for ever."""
+    fleet = Fleet(vm_count, ran, noticed_after, seed)
+    at = 0.0
+    while at < 200_000.0:
+        vm = fleet.random.choice(fleet.vms)
+        for _ in range(copies):
+            fleet.later(at, fleet.send, vm)
+        at += fleet.random.choice([0.0, 100.0, 300.0, 2_000.0])
+    fleet.run()
+    counted_from = sorted(fleet.sent_at)[2] + ran + 4_000.0
+    assert sum(sent_at > counted_from for sent_at in fleet.sent_at) <= 3
+
+
+def test_harmless_request_is_cleared_soon_after_upstreams_crashed_together():
+    """A hot request runs at many upstreams of a data centre that loses power."""
+    fleet = Fleet(6, 20.0, 0.0, seed=1)
+    now = fleet.clock.now()
+    for number in range(8):
+        crash = Crash(upstream=f"u{number}", born=1.0, sent_at=now - 50, ended_at=now)
+        for vm in fleet.vms:
+            vm.add("f", [crash])
+    assert all(0.0 < vm.refused_for("f") <= 7_000.0 for vm in fleet.vms)
+    fleet.clock.advance(min(vm.refused_for("f") for vm in fleet.vms))
+    admitted = [vm for vm in fleet.vms if vm.admit("f") == 0.0]
+    assert len(admitted) == 1
+    assert admitted[0].refused_for("f") > 0.0
+    for vm in fleet.vms:
+        vm.clear("f")
+        assert vm.admit("f") == 0.0
