Keep connections to upstreams that read late

TCP_USER_TIMEOUT of 800 ms also ends a connection whose window is closed, since Linux counts from the first probe of the window, acknowledged or not. While a request with a body is under way, TCP_INFO is read every 50 ms, and the option is extended as long as the peer acknowledges the probes. Without TCP_INFO nothing is extended.

The tests of late readers fail before.

Connections of callers don't have the option. Those between VMs and to the store keep it.

--- a/lagoonlatch/entry/exchange.py
+++ b/lagoonlatch/entry/exchange.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import contextlib
 import errno
 import itertools
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
+from functools import partial
+from typing import TypeVar
 
 import gevent
 import h11
@@ -23,7 +26,11 @@
 )
 from lagoonlatch.platform.endpoint import Endpoint
 from lagoonlatch.platform.headers import is_stamp, read_answer_fields
-from lagoonlatch.sockets import tune_socket
+from lagoonlatch.sockets import (
+    ACKNOWLEDGEMENT_CHECK_INTERVAL,
+    ClosedWindowGuard,
+    tune_socket,
+)
 from lagoonlatch.status_codes import is_final_status
 
 CONNECT_TIMEOUT: Millis = 400.0
@@ -32,7 +39,8 @@
 
 UNACKNOWLEDGED_TIMEOUT: Millis = 800.0
 """Time after which a peer that acknowledges no data counts as unreachable; allows for
-several round trips and one retransmission between regions."""
+several round trips and one retransmission between regions. A peer that acknowledges
+everything may read as late as the deadline of its request."""
 
 DEFAULT_KEEP_ALIVE: Millis = 4_000.0
 """Idle limit of a connection whose upstream announces none."""
@@ -54,6 +62,8 @@
 _MISDIRECTED = 421
 _FIRST_SUCCESS, _FIRST_REDIRECT = 200, 300
 
+_T = TypeVar("_T")
+
 
 class UpstreamConnection:
     """A connection to an upstream that carries one request at a time."""
@@ -64,6 +74,8 @@
         self._sock = sock
         self._memory_limit = memory_limit
         self._clock = clock
+        self._guard = ClosedWindowGuard(sock, UNACKNOWLEDGED_TIMEOUT, clock)
+        self._has_body = False
         self._idle_since = clock.now()
         self._heard_at = clock.now()
         self._keep_alive = DEFAULT_KEEP_ALIVE
@@ -125,14 +137,18 @@
             return outcome
         finally:
             self._idle_since = self._clock.now()
+            with contextlib.suppress(OSError):
+                self._guard.reset()
             if not is_finished or not self.is_reusable:
                 self.close()
 
     def _exchange(self, request: UpstreamRequest, deadline: Millis) -> Outcome:
         data, parser = _encode(request)
-        sender = _Sender(self._sock, data)
+        self._has_body = bool(request.body)
+        sender = _Sender(
+            self._sock, data, lambda operation: self._guarded(operation, deadline)
+        )
         try:
-            self._sock.settimeout(self._seconds_until(deadline))
             if not sender.send():
                 self.is_reusable = False
             return self._classify(request, self._receive(request, parser, deadline))
@@ -156,6 +172,32 @@
             self.is_reusable = False
             return Unknown(FailureKind.CLOSED, str(error))
 
+    def _guarded(self, operation: Callable[[], _T], deadline: Millis) -> _T:
+        """Return the result of a socket operation that may wait until `deadline`.
+
+        Until then the connection is kept if the upstream acknowledges its data.
+
+        Raises
+        ------
+        OSError
+            If the operation fails or the upstream is out of reach.
+        """
+        needs_guard = self._has_body
+        while True:
+            timeout = self._seconds_until(deadline)
+            if needs_guard:
+                timeout = min(
+                    timeout, ACKNOWLEDGEMENT_CHECK_INTERVAL / MILLIS_PER_SECOND
+                )
+            self._sock.settimeout(timeout)
+            try:
+                return operation()
+            except TimeoutError as error:
+                is_over = self._clock.now() >= deadline
+                if error.errno is not None or is_over or not needs_guard:
+                    raise
+            needs_guard = self._guard.check()
+
     def _seconds_until(self, deadline: Millis) -> float:
         return max(deadline - self._clock.now(), 1.0) / MILLIS_PER_SECOND
 
@@ -196,8 +238,7 @@
                 self._memory_limit.wait_for_memory(
                     builder, deadline - self._clock.now()
                 )
-                self._sock.settimeout(self._seconds_until(deadline))
-                data = self._sock.recv(_CHUNK_BYTES)
+                data = self._guarded(lambda: self._sock.recv(_CHUNK_BYTES), deadline)
                 self._heard_at = self._clock.now()
                 if not data:
                     self.is_reusable = False
@@ -244,9 +285,15 @@
 class _Sender:
     """Sends one request and records whether the kernel accepted any bytes."""
 
-    def __init__(self, sock: socket.socket, data: bytes) -> None:
+    def __init__(
+        self,
+        sock: socket.socket,
+        data: bytes,
+        guarded: Callable[[Callable[[], int]], int],
+    ) -> None:
         self._sock = sock
         self._data = data
+        self._guarded = guarded
         self.has_sent_bytes = False
 
     def send(self) -> bool:
@@ -255,7 +302,7 @@
         while view:
             if self.has_sent_bytes and _can_read(self._sock):
                 return False
-            sent = self._sock.send(view[:_CHUNK_BYTES])
+            sent = self._guarded(partial(self._sock.send, view[:_CHUNK_BYTES]))
             self.has_sent_bytes = self.has_sent_bytes or sent > 0
             view = view[sent:]
         return True
--- a/tests/entry/test_exchange.py
+++ b/tests/entry/test_exchange.py
@@ -1,16 +1,20 @@
 """Upstream connections with complete, incomplete, malformed and missing answers."""
 
+import ctypes
 import errno
+import struct
 from dataclasses import replace
 
 import gevent
 import pytest
+from gevent import socket
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from lagoonlatch import sockets
 from lagoonlatch.clock import Clock
 from lagoonlatch.entry.answer_memory import AnswerMemoryLimit
-from lagoonlatch.entry.exchange import UpstreamConnection
+from lagoonlatch.entry.exchange import UNACKNOWLEDGED_TIMEOUT, UpstreamConnection
 from lagoonlatch.entry.messages import (
     Answered,
     FailureKind,
@@ -368,3 +372,70 @@
     outcome = connection.exchange(REQUEST, 1_000.0)
     assert outcome.kind is FailureKind.RESET
     assert 0.0 < sent_at - outcome.heard_at < 1_000.0
+
+
+SO_ATTACH_FILTER = 26
+
+
+def drop_all_packets(sock):
+    """Make the system drop what arrives for `sock`, as a dead link does."""
+    rejection = ctypes.create_string_buffer(struct.pack("HBBI", 0x06, 0, 0, 0))
+    program = struct.pack("HL", 1, ctypes.addressof(rejection))
+    sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
+
+
+@pytest.fixture
+def late_reader():
+    """Return a connection to an upstream with a small window, and its socket."""
+    with socket.socket() as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16_384)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        connection = UpstreamConnection.open(
+            address, 500.0, AnswerMemoryLimit(10_000_000, Clock()), Clock()
+        )
+        sock, _ = listener.accept()
+    with sock:
+        yield connection, sock
+    connection.close()
+
+
+LONG_POST = replace(POST, body=b"x" * 6_000_000)
+
+
+@pytest.mark.parametrize("request_", [POST, LONG_POST])
+def test_upstream_that_reads_a_body_late_is_not_cut_off(late_reader, request_):
+    """The limit of unacknowledged data also ended connections with closed windows."""
+    connection, sock = late_reader
+
+    def answer_late():
+        gevent.sleep(3.0)
+        ScriptedUpstream._read(sock)
+        sock.sendall(OK)
+
+    gevent.spawn(answer_late)
+    outcome = connection.exchange(request_, 6_000.0)
+    assert isinstance(outcome, Answered)
+    limit = connection._sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+    assert limit == UNACKNOWLEDGED_TIMEOUT
+
+
+@pytest.mark.parametrize("dead_after", [0.0, 1.5])
+def test_dead_link_is_noticed_before_and_after_the_window_closes(
+    late_reader, dead_after
+):
+    connection, sock = late_reader
+    gevent.spawn_later(dead_after, drop_all_packets, sock)
+    started = Clock().now()
+    outcome = connection.exchange(POST, 6_000.0)
+    assert outcome.kind is FailureKind.RESET
+    assert Clock().now() - started < dead_after * 1_000.0 + 2_000.0
+
+
+def test_late_reader_is_cut_off_if_the_system_tells_nothing(late_reader, monkeypatch):
+    """Without TCP_INFO a dead link can't be told from a peer that reads late."""
+    connection, _ = late_reader
+    monkeypatch.setattr(sockets._Progress, "read", lambda _sock: None)
+    outcome = connection.exchange(POST, 6_000.0)
+    assert outcome.kind is FailureKind.RESET
