--- a/lagoonlatch/standins/entry_fleet.py
+++ b/lagoonlatch/standins/entry_fleet.py
@@ -68,6 +68,8 @@
         Where the VMs write their log lines.
     memory_mb : float
         Memory that the settings allow a VM, in 2**20 bytes.
+    limits : mapping of str to float, optional
+        What the configuration allows callers, as in its resource ``limits``.
 
     Attributes
     ----------
@@ -85,6 +87,7 @@
         instances: int = 6,
         output: int | IO[bytes] = subprocess.DEVNULL,
         memory_mb: float = 200.0,
+        limits: Mapping[str, float] | None = None,
     ) -> None:
         self.store = KvStoreStandin()
         self.instances_by_id: dict[str, InstanceStandin] = {}
@@ -93,6 +96,7 @@
         self.cold_start: Millis = 200.0
         self.cold_rate = 50.0
         self._memory_mb = memory_mb
+        self._limits = limits
         self._output = output
         self._vm_count = vms
         self._instance_count = instances
@@ -167,6 +171,14 @@
         document = _document(
             self._version, keys, rate, timeout_s, self.cold_start, self.cold_rate
         )
+        if self._limits is not None:
+            document["resources"].append(
+                {
+                    "resource_kind": "limits",
+                    "metadata": {"name": "callers"},
+                    "spec": dict(self._limits),
+                }
+            )
         self.store.put(CONFIGURATION_KEY, document)
         return self._version
 
