Don't pace upstreams that warm up before any traffic

When a fleet starts, its upstreams start as well and are cold until long before the first requests.

An upstream whose cold time ends before its VM has had a request for the service is no longer paced. The new test in test_pacing.py fails before; the existing test of the unused lifetime records traffic, without which it would now see the pace end earlier.

--- a/lagoonlatch/entry/slots.py
+++ b/lagoonlatch/entry/slots.py
@@ -121,6 +121,7 @@
         waited: Millis,
     ) -> bool:
         asked_at = self._clock.now()
+        self._upstream_table.note_traffic(upstream.record.service)
         upstream.in_flight += 1
         upstream.unanswered_claims += 1
         verdict: ClaimAnswer | None = None
--- a/lagoonlatch/standins/paced_fleet.py
+++ b/lagoonlatch/standins/paced_fleet.py
@@ -211,6 +211,7 @@
                 # Arrivals at the VMs are spread over the interval.
                 if (self.elapsed() + vm.number * 7 * STEP) % ARRIVAL_INTERVAL < STEP:
                     vm.pending = min(vm.pending + 1, MAX_PENDING)
+                    vm.table.note_traffic(vm.state.record.service)
                 while vm.pending and self._send(vm):
                     vm.pending -= 1
 
--- a/lagoonlatch/steering/upstreams.py
+++ b/lagoonlatch/steering/upstreams.py
@@ -76,6 +76,7 @@
         self.is_leaving = False
         self.pace: UpstreamPace | None = None
         self.home_pace: HomePace | None = None
+        self._paced_since: Millis = -math.inf
         self._limit: NamedLimit | None = None
         self._limit_named_at: Millis = -math.inf
         self._limit_confirmed_at: Millis = -math.inf
@@ -302,8 +303,21 @@
         if self.pace is not None:
             self.pace.note_sent()
 
-    def take_ended_paces(self) -> list[UpstreamPace]:
-        """Remove the paces that have ended, and return them."""
+    def take_ended_paces(self, last_traffic_at: Millis) -> list[UpstreamPace]:
+        """Remove the paces that have ended, and return them.
+
+        An upstream that has become warm before there was any traffic isn't paced: when
+        a fleet starts, all its upstreams would be paced at the first requests.
+
+        Parameters
+        ----------
+        last_traffic_at : Millis
+            When this VM last had a request for the service.
+        """
+        has_warmed_up = not self.is_cold() and self._cold_until > self._paced_since
+        if has_warmed_up and last_traffic_at < self._paced_since:
+            self.pace = self.home_pace = None
+            return []
         ended: list[UpstreamPace] = []
         if self.pace is not None and self._is_over(self.pace):
             ended.append(self.pace)
@@ -314,6 +328,7 @@
         return ended
 
     def _start_pace(self) -> None:
+        self._paced_since = self._clock.now()
         self.pace = UpstreamPace(self.record.slots, self._clock)
         self.home_pace = HomePace(self.record.slots, self._clock)
 
@@ -340,6 +355,7 @@
         self._states_by_id: dict[str, UpstreamState] = {}
         self._states_by_service: dict[str, dict[str, UpstreamState]] = defaultdict(dict)
         self._services_by_id: Mapping[str, Service] = {}
+        self._last_traffic_by_service: dict[str, Millis] = {}
         self._evacuated: frozenset[str] = frozenset()
         # Start time and time of removal of each recently removed upstream.
         self._removed_run_by_id: dict[str, tuple[float, Millis]] = {}
@@ -438,13 +454,19 @@
         """Return how many upstreams are paced."""
         return sum(state.pace is not None for state in self._states_by_id.values())
 
+    def note_traffic(self, service: str) -> None:
+        """Record that this VM has a request for a service."""
+        self._last_traffic_by_service[service] = self._clock.now()
+
     def take_ended_paces(self) -> list[tuple[str, UpstreamPace]]:
         """Remove the paces that have ended; return them with their upstreams' ids."""
         return [
             (upstream_id, pace)
             for upstream_id, state in self._states_by_id.items()
             if state.pace is not None or state.home_pace is not None
-            for pace in state.take_ended_paces()
+            for pace in state.take_ended_paces(
+                self._last_traffic_by_service.get(state.record.service, -math.inf)
+            )
         ]
 
     def evacuate(self, data_centres: frozenset[str]) -> None:
--- a/tests/steering/test_pacing.py
+++ b/tests/steering/test_pacing.py
@@ -122,11 +122,29 @@
     assert table.find("old").pace is None
     table.find("old").clear_suspicion(0.0)
     assert table.paced_count() == 2
+    table.note_traffic("ledger")
     clock.advance(UNUSED_LIFETIME)
     table.take_ended_paces()
     assert [table.find(name).pace is None for name in ("old", "new")] == [True, False]
 
 
+def test_upstreams_that_warm_up_before_any_traffic_are_not_paced():
+    """A fleet that started with its upstreams paced all of them at the first requests.
+
+    Load: none for 4 s, then all requests of a deployment.
+    """
+    clock = ManualClock()
+    table = make_upstream_table(clock)
+    for name in ("a", "b"):
+        table.put(make_record(name))
+    table.take_ended_paces()
+    assert table.paced_count() == 2
+    clock.advance(4_000.0)
+    table.take_ended_paces()
+    assert table.paced_count() == 0
+    assert table.find("a").home_pace is None
+
+
 def test_requests_do_not_wait_for_a_paced_upstream():
     clock = ManualClock()
     table = make_upstream_table(clock)
