Let region weights follow the demand of callers

Cause: region_weights assumes the same load in all regions. With slots of 18/4/15 and demand that peaks in turn, one region is overfilled while others have free slots.

Change: each VM measures the demand of its callers and reports it in heartbeats (field `demand` of `Tell`). Where the slots are unevenly distributed, it computes the shares of its region and moves the applied weights towards them by at most 0.05 a second. Even deployments keep region_weights. Requests without an object draw their region at random where demand decides.

--- a/lagoonlatch/entry/events.py
+++ b/lagoonlatch/entry/events.py
@@ -267,6 +267,14 @@
     cold_ms: int
 
 
+@log_event()
+class RegionWeightsMoved(LogEvent):
+    """The shares of a service's requests sent to each region, in percent."""
+
+    service: str
+    percent_by_region: dict[str, int]
+
+
 @log_event()
 class VmKnown(LogEvent):
     """The store holds a new or changed entry of another VM."""
--- a/lagoonlatch/entry/handling.py
+++ b/lagoonlatch/entry/handling.py
@@ -44,6 +44,7 @@
 )
 from lagoonlatch.steering.allowances import Allowances
 from lagoonlatch.steering.crashes import CRASH_LIMIT, CrashQuarantine
+from lagoonlatch.steering.demand import DemandMeter
 from lagoonlatch.steering.model import Organisation, Route, RouteKind
 from lagoonlatch.steering.placement import Candidates, Placement, PlacementRequest
 from lagoonlatch.steering.queueing import RequestPriority, WaitingQueue
@@ -188,6 +189,7 @@
         borrow: Callable[[str], bool],
         quarantine: CrashQuarantine,
         answer_memory_limit: AnswerMemoryLimit,
+        demand_meter: DemandMeter,
         metrics: EntryMetrics,
         clock: Clock,
     ) -> None:
@@ -202,6 +204,7 @@
         self._borrow = borrow
         self._quarantine = quarantine
         self._answer_memory_limit = answer_memory_limit
+        self._demand_meter = demand_meter
         self._metrics = metrics
         self._clock = clock
         self._splitter = Splitter()
@@ -306,6 +309,7 @@
                     headers=[retry_after(retry_delay)],
                 )
         self._retry_budget.note_request(context.service)
+        self._demand_meter.note_request(context.service)
         try:
             return self._run_attempts(context)
         finally:
@@ -505,6 +509,7 @@
         """Try one upstream; return the final answer, or None to try another."""
         context.tried.add(upstream.record.id)
         upstream.note_object(context.object_name())
+        started = self._clock.now()
         outcome = self._attempt_runner.run(
             upstream,
             _make_upstream_request(context, upstream.record.id, time_left),
@@ -513,6 +518,9 @@
             context.fingerprint,
         )
         context.last_upstream = upstream.record.id
+        if not isinstance(outcome, NotRun):
+            duration = self._clock.now() - started
+            self._demand_meter.note_attempt(context.service, duration, upstream.region)
         if not (isinstance(outcome, NotRun) and not outcome.reached):
             context.attempts += 1
         match outcome:
--- a/lagoonlatch/entry/metrics.py
+++ b/lagoonlatch/entry/metrics.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from aioprometheus import Gauge
 
@@ -24,6 +24,7 @@
     def __init__(self, vm: str, data_centre: str) -> None:
         super().__init__(vm=vm, data_centre=data_centre)
         self._gauges: list[tuple[Gauge, Callable[[], float]]] = []
+        self._service_gauges: list[tuple[Gauge, Callable[[], Mapping[str, float]]]] = []
         self._requests = self._counter("requests_total", "Requests by route and status")
         self._refusals = self._counter("refusals_total", "Refused requests by reason")
         self._attempts = self._counter(
@@ -81,8 +82,17 @@
         """Add a gauge whose value `read` returns whenever the metrics are collected."""
         self._gauges.append((self._gauge(name, text), read))
 
+    def add_service_gauge(
+        self, name: str, text: str, read: Callable[[], Mapping[str, float]]
+    ) -> None:
+        """Add a gauge with a value for each service that `read` returns."""
+        self._service_gauges.append((self._gauge(name, text), read))
+
     def render(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
         for gauge, read in self._gauges:
             gauge.set({}, read())
+        for gauge, read_by_service in self._service_gauges:
+            for service, value in read_by_service().items():
+                gauge.set({"service": service}, value)
         return super().render()
--- a/lagoonlatch/entry/peer.thrift
+++ b/lagoonlatch/entry/peer.thrift
@@ -26,6 +26,9 @@
   11: optional i64 era,
   // Version of the configuration in force.
   12: optional i64 version,
+  // Demand by service, in hundredths of slots: that of the sender's callers if the
+  // receiver is in the same region, else that of the sender's region. Not set: unknown.
+  13: optional map<string, i32> demand,
 }
 
 struct Change {
--- a/lagoonlatch/entry/peers.py
+++ b/lagoonlatch/entry/peers.py
@@ -8,7 +8,7 @@
 
 import itertools
 import random
-from collections.abc import Callable, Iterable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from contextlib import contextmanager
 from dataclasses import dataclass
 from typing import Any
@@ -54,6 +54,7 @@
     Crash,
     CrashQuarantine,
 )
+from lagoonlatch.steering.demand import DemandTable, decode_demand, encode_demand
 from lagoonlatch.steering.holders import Holders
 from lagoonlatch.steering.knowledge import Knowledge
 from lagoonlatch.steering.lenders import Lenders
@@ -150,6 +151,8 @@
     on_large_answer : callable
         Called with the address of a VM from which to read missing changes that don't
         fit into datagrams.
+    demand_table : DemandTable
+        Keeps the demand that other VMs report.
 
     Attributes
     ----------
@@ -175,6 +178,7 @@
         on_upstream_leaving: Callable[[str, float, str], None],
         outage_detector: OutageDetector,
         peer_table: PeerTable,
+        demand_table: DemandTable,
         clock: Clock,
     ) -> None:
         self._own_record = own_record
@@ -193,6 +197,7 @@
         self._allowances = allowances
         self._quarantine = quarantine
         self._peer_table = peer_table
+        self._demand_table = demand_table
         self._clock = clock
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._address_by_vm: dict[str, tuple[str, int]] = {}
@@ -233,12 +238,18 @@
         watches = self._standing() is Standing.WATCHES
         rounds = WATCHER_NEAR_ROUNDS if watches else NEAR_ROUNDS
         self._send_heartbeat_to(
-            rounds.select_peers(near, self._round), rounds.heartbeat_interval(len(near))
+            rounds.select_peers(near, self._round),
+            rounds.heartbeat_interval(len(near)),
+            self._demand_table.own_demand(),
         )
         if self._round % FAR_INTERVAL_ROUNDS == 0:
             rounds = WATCHER_FAR_ROUNDS if watches else FAR_ROUNDS
             recipients = rounds.select_peers(far, self._round // FAR_INTERVAL_ROUNDS)
-            self._send_heartbeat_to(recipients, rounds.heartbeat_interval(len(far)))
+            self._send_heartbeat_to(
+                recipients,
+                rounds.heartbeat_interval(len(far)),
+                self._demand_table.region_demand(),
+            )
         self._round += 1
 
     def announce_leaving(self) -> None:
@@ -278,6 +289,7 @@
         status = _decode_tell(tell)
         self._address_by_vm[tell.vm] = origin.address
         self._peer_table.update(status)
+        self._demand_table.update(tell.vm, decode_demand(tell.demand))
         if tell.store_age is not None:
             self._outage_detector.note_peer_success(float(tell.store_age))
         if status.is_leaving:
@@ -410,7 +422,12 @@
         host, port = self._address_by_vm[vm]
         return f"{host}:{port}"
 
-    def _send_heartbeat_to(self, peers: Sequence[VmRecord], interval: Millis) -> None:
+    def _send_heartbeat_to(
+        self,
+        peers: Sequence[VmRecord],
+        interval: Millis,
+        demand_by_service: Mapping[str, float] | None = None,
+    ) -> None:
         if not peers:
             return
         store_age = self._outage_detector.last_success_age()
@@ -427,6 +444,7 @@
             store_age=None
             if store_age is None
             else min(round(store_age), MAX_STORE_AGE_MILLIS),
+            demand=encode_demand(demand_by_service),
         )
         self._send_bytes_to(peers, serialize(Datagram(tell=tell), _PROTOCOL))
 
--- a/lagoonlatch/entry/process.py
+++ b/lagoonlatch/entry/process.py
@@ -19,6 +19,7 @@
 from lagoonlatch.entry.catch_up import CatchUpClient, CatchUpServer
 from lagoonlatch.entry.connection import CallerConnection
 from lagoonlatch.entry.events import (
+    RegionWeightsMoved,
     Reloaded,
     ReloadFailed,
     Started,
@@ -66,6 +67,7 @@
 from lagoonlatch.steering.allowances import Allowances
 from lagoonlatch.steering.cold_start import ColdStartLimiter
 from lagoonlatch.steering.crashes import CrashQuarantine
+from lagoonlatch.steering.demand import DemandMeter, DemandTable, DemandWeights
 from lagoonlatch.steering.holders import Holders
 from lagoonlatch.steering.homes import SlotHomes
 from lagoonlatch.steering.lookup import Lookup
@@ -246,6 +248,14 @@
             lambda: self._waiting_queue.offer_slots(),
             clock,
         )
+        self._demand_meter = DemandMeter(settings.region, clock)
+        demand_table = DemandTable(
+            settings.region,
+            self._demand_meter,
+            self._region_of_vm,
+            lambda: [vm.id for vm in self._neighbours.near],
+            clock,
+        )
         self._peers = PeerLink(
             self._own_record,
             self._neighbours,
@@ -261,6 +271,7 @@
             lambda *notice: self._notices.handle_peer_notice(*notice),
             outage_detector,
             self._peer_table,
+            demand_table,
             clock,
         )
         self._catch_up_server = CatchUpServer(self._replica)
@@ -301,11 +312,20 @@
             self._metrics,
             clock,
         )
+        demand_weights = DemandWeights(
+            settings.region,
+            settings.region_by_data_centre.values(),
+            self._upstream_table,
+            demand_table,
+            _log_weights,
+            clock,
+        )
         placement = Placement(
             self._upstream_table,
             settings.region,
             settings.region_by_data_centre.values(),
             self._cold_start_limiter.consume,
+            demand_weights.find,
         )
         self._waiting_queue = WaitingQueue(placement, clock)
         self._handler = RequestHandler(
@@ -326,6 +346,7 @@
             self._peers.borrower.borrow,
             quarantine,
             answer_memory_limit,
+            self._demand_meter,
             self._metrics,
             clock,
         )
@@ -415,6 +436,16 @@
             "Of answers that are read or not yet written",
             lambda: self._answer_memory_limit.used_bytes,
         )
+        self._metrics.add_service_gauge(
+            "demand_slots",
+            "Slots that the requests of this VM's callers need, by service",
+            lambda: self._demand_meter.demand_by_service() or {},
+        )
+        self._metrics.add_service_gauge(
+            "remote_request_share",
+            "Share of the requests sent to other regions, by service",
+            self._demand_meter.remote_share_by_service,
+        )
 
     def _report_odd_era(self, text: str) -> None:
         self._metrics.odd_era_received()
@@ -425,6 +456,12 @@
         entry = self._facts.vms_by_id.get(self._own_record.id)
         return entry is not None and entry.run == self._own_record.run
 
+    def _region_of_vm(self, vm: str) -> str | None:
+        record = self._facts.known_vms_by_id.get(vm)
+        if record is None:
+            return None
+        return self._settings.region_by_data_centre.get(record.data_centre)
+
     def _configuration_version(self) -> int:
         return self._facts.rules.version if self._facts.rules is not None else 0
 
@@ -587,6 +624,13 @@
         gevent.get_hub().handle_system_error(SystemExit, SystemExit(ExitCode.FAILED))
 
 
+def _log_weights(service: str, weights: Mapping[str, float]) -> None:
+    percent_by_region = {
+        region: round(weight * 100.0) for region, weight in sorted(weights.items())
+    }
+    emit(RegionWeightsMoved(service=service, percent_by_region=percent_by_region))
+
+
 def entry(*, metrics_port: int = 0) -> int:
     """Run an entry VM on the users' platform.
 
--- a/lagoonlatch/steering/placement.py
+++ b/lagoonlatch/steering/placement.py
@@ -16,7 +16,7 @@
 import math
 import random
 from collections import defaultdict
-from collections.abc import Callable, Iterable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
 from itertools import repeat
 
@@ -93,6 +93,9 @@
     consume_cold_request : callable
         Returns whether this VM may send a request to a cold upstream now, and counts
         that request.
+    find_demand_weights : callable
+        Returns the weight of each region for a service by the demand of all regions;
+        None if `region_weights` decides.
     """
 
     def __init__(
@@ -101,11 +104,15 @@
         region: str,
         regions: Iterable[str],
         consume_cold_request: Callable[[UpstreamState], bool],
+        find_demand_weights: Callable[
+            [str], Mapping[str, float] | None
+        ] = lambda _service: None,
     ) -> None:
         self._upstream_table = upstream_table
         self._region = region
         self._region_count = len(set(regions))
         self._consume_cold_request = consume_cold_request
+        self._find_demand_weights = find_demand_weights
 
     def candidates(
         self, request: PlacementRequest, affinity_wait: Millis
@@ -119,18 +126,14 @@
         for upstream in usable:
             if self._is_allowed(upstream, request):
                 by_region[upstream.region].append(upstream)
-        weights = region_weights(
-            self._region,
-            {
-                region: sum(upstream.record.slots for upstream in upstreams)
-                for region, upstreams in by_region.items()
-            },
-            self._region_count,
-        )
+        demand_weights = self._find_demand_weights(request.service)
+        weights = self._region_weights(by_region, demand_weights)
         name = request.object_name
+        # Requests without an object would all go to one region at a time.
+        draw = name if name or demand_weights is None else str(random.random())
         regions = sorted(
             by_region,
-            key=lambda region: _region_sort_key(name, region, weights[region]),
+            key=lambda region: _region_sort_key(draw, region, weights[region]),
         )
         ranked: list[UpstreamState] = []
         for region, count in zip(regions, _candidate_counts(), strict=False):
@@ -148,6 +151,24 @@
             affinity_wait=affinity_wait,
         )
 
+    def _region_weights(
+        self,
+        by_region: Mapping[str, Sequence[UpstreamState]],
+        demand_weights: Mapping[str, float] | None,
+    ) -> dict[str, float]:
+        if demand_weights is not None:
+            weights = {region: demand_weights.get(region, 0.0) for region in by_region}
+            if any(weights.values()):
+                return weights
+        return region_weights(
+            self._region,
+            {
+                region: sum(upstream.record.slots for upstream in upstreams)
+                for region, upstreams in by_region.items()
+            },
+            self._region_count,
+        )
+
     def pick(self, candidates: Candidates, waited: Millis) -> UpstreamState | None:
         """Return a candidate with a free slot; None if the request should wait.
 
--- a/tests/entry/test_handling.py
+++ b/tests/entry/test_handling.py
@@ -22,6 +22,7 @@
 from lagoonlatch.steering.admission import Admission
 from lagoonlatch.steering.allowances import Allowances
 from lagoonlatch.steering.crashes import FIRST_REFUSAL_TIME, Crash, CrashQuarantine
+from lagoonlatch.steering.demand import DemandMeter
 from lagoonlatch.steering.holders import Share
 from lagoonlatch.steering.homes import SlotHomes
 from lagoonlatch.steering.model import RouteKind, TrafficRules
@@ -113,6 +114,7 @@
             self.clock,
         )
         self.answer_memory_limit = AnswerMemoryLimit(1_000_000, self.clock)
+        self.demand_meter = DemandMeter("north", self.clock)
         self.handler = RequestHandler(
             self.facts,
             placement,
@@ -125,6 +127,7 @@
             lambda _: False,
             self.quarantine,
             self.answer_memory_limit,
+            self.demand_meter,
             EntryMetrics("vm", "n-a"),
             self.clock,
         )
@@ -177,6 +180,15 @@
     assert names[b"request-id"] == b"r1"
 
 
+def test_requests_over_the_allowance_are_no_demand():
+    harness = HandlerHarness(Answered(make_answer()), rate=1.0)
+    harness.clock.advance(1_000.0)
+    harness.send_request()
+    demand = harness.demand_meter.demand_by_service()
+    assert harness.send_request().status == 429
+    assert harness.demand_meter.demand_by_service() == demand != {}
+
+
 def test_open_route_forwards_neither_key_nor_organisation():
     harness = HandlerHarness(Answered(make_answer()))
     assert harness.send_request(b"/open/1").status == 200
--- a/tests/steering/test_placement.py
+++ b/tests/steering/test_placement.py
@@ -245,3 +245,22 @@
     assert placement.limit_waits(make_request()) == []
     limit(second, 900.0)
     assert placement.limit_waits(make_request()) == [400.0, 900.0]
+
+
+@pytest.mark.parametrize("name", ["", "lookup/{}"])
+def test_demand_weights_divide_requests_with_and_without_an_object(name):
+    """A fixed hash would send all requests without an object to one region."""
+    upstream_table = make_upstream_table()
+    add_upstreams(upstream_table, {"n-a": 6, "s-a": 2, "m-a": 6})
+    weights = {"north": 0.25, "south": 0.0, "mid": 0.75}
+    placement = Placement(
+        upstream_table, "north", REGIONS, lambda _: True, lambda _: weights
+    )
+    found = [
+        placement.candidates(make_request(name.format(number)), 100.0).upstreams[0]
+        for number in range(2_000)
+    ]
+    assert 400 < sum(state.region == "north" for state in found) < 600
+    assert not any(state.region == "south" for state in found)
+    only_south = make_request(regions=frozenset({"south"}))
+    assert placement.candidates(only_south, 100.0).upstreams
