Close the sockets of the fuzzed links in the decoder test

Reports of suspect requests are repeated by a greenlet since, which keeps its PeerLink. The test makes thousands of links and lets no greenlet run, so that none was freed. It now closes the socket of each link; what it checks is unchanged.

--- a/tests/properties/test_decoder_fuzz.py
+++ b/tests/properties/test_decoder_fuzz.py
@@ -163,6 +163,8 @@
             assert link._quarantine.admit(fingerprint) >= 0.0
             link.report_suspect(fingerprint)
         link._replica.settle()
+        # Repeats of the reports keep the link, and the test lets no greenlet run.
+        link._sock.close()
     unreadable = [e for e in events if isinstance(e, DatagramUnreadable)]
     assert 0 < len(unreadable) < DATAGRAMS
 
