--- a/lagoonlatch/entry/attempts.py
+++ b/lagoonlatch/entry/attempts.py
@@ -28,7 +28,6 @@
 from lagoonlatch.entry.probes import Prober
 from lagoonlatch.steering.admission import Admission
 from lagoonlatch.steering.crashes import Crash, CrashQuarantine
-from lagoonlatch.steering.pacing import WarmDurations, note_failed, note_served
 from lagoonlatch.steering.upstreams import UpstreamState, UpstreamTable
 
 GRANT_LIFETIME: Millis = 500.0
@@ -37,8 +36,6 @@
 
 _FIRST_SERVER_ERROR = 500
 
-_TOO_MANY_REQUESTS = 429
-
 _CALLER_LEFT_REASON = "the caller has left"
 
 
@@ -49,8 +46,6 @@
     ----------
     report_suspect : callable
         Reports to the other VMs what this VM knows of the request with a fingerprint.
-    durations : WarmDurations
-        Is updated with the durations at upstreams that are neither cold nor paced.
     """
 
     def __init__(
@@ -63,10 +58,8 @@
         report_suspect: Callable[[str], None],
         notices: UpstreamNotices,
         metrics: EntryMetrics,
-        durations: WarmDurations,
         clock: Clock,
     ) -> None:
-        self._durations = durations
         self._upstream_table = upstream_table
         self._pool = pool
         self._prober = prober
@@ -101,7 +94,6 @@
             upstream=upstream.record.id, born=born, sent_at=started, ended_at=ended
         )
         self._update_state(upstream, outcome, fingerprint, possible_crash)
-        self._update_pace(upstream, outcome, route, started, duration)
         self._record(upstream, request, outcome, duration)
         if (
             isinstance(outcome, Answered)
@@ -232,26 +224,6 @@
             case Unknown():
                 upstream.note_failure()
 
-    def _update_pace(
-        self,
-        upstream: UpstreamState,
-        outcome: Outcome,
-        route: str,
-        started: Millis,
-        duration: Millis,
-    ) -> None:
-        match outcome:
-            case Answered(answer) if (
-                answer.status < _FIRST_SERVER_ERROR
-                and answer.status != _TOO_MANY_REQUESTS
-            ):
-                note_served(upstream, self._durations, route, started, duration)
-            case NotRun(reached=False) | Unknown(kind=FailureKind.CALLER_LEFT):
-                # Says nothing of how many requests the upstream can handle.
-                pass
-            case _:
-                note_failed(upstream, started)
-
     def _record_crash(self, fingerprint: str, crash: Crash) -> None:
         """Record a crash of an upstream that ran a request; report it if it is new."""
         if not self._quarantine.add(fingerprint, [crash]):
--- a/lagoonlatch/entry/events.py
+++ b/lagoonlatch/entry/events.py
@@ -276,21 +276,6 @@
     cold_ms: int
 
 
-@log_event()
-class UpstreamPaceEnded(LogEvent):
-    """An upstream that had started or recovered gets its full load again.
-
-    `scope` is `vm` for this VM's own requests and `home` for those of all VMs, which
-    its home VM paces. `decreases` is how often the pace was lowered.
-    """
-
-    upstream: str
-    scope: str
-    after_ms: int
-    requests: int
-    decreases: int
-
-
 @log_event()
 class VmKnown(LogEvent):
     """The store holds a new or changed entry of another VM."""
--- a/lagoonlatch/entry/process.py
+++ b/lagoonlatch/entry/process.py
@@ -27,7 +27,6 @@
     Stopping,
     StoreEraOdd,
     TaskFailed,
-    UpstreamPaceEnded,
 )
 from lagoonlatch.entry.facts import Facts
 from lagoonlatch.entry.handling import UNREADY_RETRY_DELAY, RequestHandler
@@ -74,7 +73,6 @@
 from lagoonlatch.steering.lookup import Lookup
 from lagoonlatch.steering.model import CallerLimits, TrafficRules, VmRecord
 from lagoonlatch.steering.neighbours import Neighbours
-from lagoonlatch.steering.pacing import HomePace, HomePacing, WarmDurations
 from lagoonlatch.steering.peers import PeerTable
 from lagoonlatch.steering.placement import Placement
 from lagoonlatch.steering.queueing import WaitingQueue
@@ -244,16 +242,10 @@
             clock,
         )
         limiter = UpstreamRateLimiter(self._granted_fraction, clock)
-        durations = WarmDurations()
         self._slots = SlotClient(
             self._own_record.id,
             self._upstream_table,
-            SlotAllocator(
-                self._upstream_table.slots_of,
-                limiter,
-                clock,
-                HomePacing(self._upstream_table.find, durations),
-            ),
+            SlotAllocator(self._upstream_table.slots_of, limiter, clock),
             limiter,
             self._slot_homes,
             lambda vm, datagram: self._peers.send(vm, datagram),
@@ -316,7 +308,6 @@
             self._peers.report_suspect,
             self._notices,
             self._metrics,
-            durations,
             clock,
         )
         placement = Placement(
@@ -436,11 +427,6 @@
             "Have named a rate limit",
             self._upstream_table.limited_count,
         )
-        add(
-            "upstreams_paced",
-            "Have started or recovered and get limited concurrent requests",
-            self._upstream_table.paced_count,
-        )
         add("vms", "VMs that callers may be sent to", lambda: len(self._ready_vms()))
         add("waiting_requests", "Waiting for a slot", lambda: len(self._waiting_queue))
         add("caller_connections", "Open", lambda: len(self._connections))
@@ -580,23 +566,6 @@
             self._peers.send_heartbeats()
             self._slots.report_held_slots()
             self._sync.check_watch()
-            self._end_paces()
-
-    def _end_paces(self) -> None:
-        for upstream_id, pace in self._upstream_table.take_ended_paces():
-            is_home = isinstance(pace, HomePace)
-            if is_home and not pace.requests:
-                # Another VM was the home VM.
-                continue
-            emit(
-                UpstreamPaceEnded(
-                    upstream=upstream_id,
-                    scope="home" if is_home else "vm",
-                    after_ms=round(pace.age()),
-                    requests=pace.requests,
-                    decreases=pace.decreases,
-                )
-            )
 
     def _reload(self) -> None:
         read = VmSettings.from_environment()
--- a/lagoonlatch/entry/slots.py
+++ b/lagoonlatch/entry/slots.py
@@ -97,7 +97,7 @@
         ticket: int,
         waited: Millis,
     ) -> bool:
-        """Claim a slot for a request; return False if none is free or paced out.
+        """Claim a slot for a request; return False if none is free.
 
         A claimed slot must be released. If the home VM doesn't answer, the claim counts
         as granted, so that the load known to this VM decides. If the upstream has a
@@ -108,20 +108,7 @@
         ticket : int
             Identifies the request among those of this VM.
         """
-        # Other requests may have used up the pace since the upstream was chosen.
-        if not upstream.has_pace_room():
-            return False
-        return self._claim(upstream, priority, ticket, waited)
-
-    def _claim(
-        self,
-        upstream: UpstreamState,
-        priority: Priority,
-        ticket: int,
-        waited: Millis,
-    ) -> bool:
         asked_at = self._clock.now()
-        self._upstream_table.note_traffic(upstream.record.service)
         upstream.in_flight += 1
         upstream.unanswered_claims += 1
         verdict: ClaimAnswer | None = None
@@ -136,7 +123,6 @@
                 self.release(upstream)
         if verdict is None:
             if upstream.rate_limit is None:
-                upstream.note_sent()
                 return True
             self.release(upstream)
             upstream.set_limit_wait(UNANSWERED_CLAIM_WAIT)
@@ -145,7 +131,6 @@
         self._apply_limit(upstream, verdict, asked_at)
         refused_upstreams = self._refused_upstreams_by_ticket[ticket]
         if verdict.granted:
-            upstream.note_sent()
             refused_upstreams.discard(upstream.record.id)
         else:
             refused_upstreams.add(upstream.record.id)
@@ -156,7 +141,7 @@
         """Claim a health check of an upstream with a rate limit, which it counts."""
         ticket = next(self._check_tickets)
         try:
-            is_granted = self._claim(upstream, CHECK_PRIORITY, ticket, 0.0)
+            is_granted = self.claim(upstream, CHECK_PRIORITY, ticket, 0.0)
         finally:
             self.stop_waiting(ticket)
         if is_granted:
--- a/lagoonlatch/steering/placement.py
+++ b/lagoonlatch/steering/placement.py
@@ -75,14 +75,10 @@
     affinity_wait: Millis
 
     def first_to_wait_for(self) -> UpstreamState:
-        """Return the first candidate without a rate limit, or the first of all.
-
-        Requests don't wait for a pace, so one without a used-up pace is preferred.
-        """
-        unlimited = [u for u in self.upstreams if u.rate_limit is None]
+        """Return the first candidate without a rate limit, or the first of all."""
         return next(
-            (upstream for upstream in unlimited if upstream.has_pace_room()),
-            (unlimited or self.upstreams)[0],
+            (upstream for upstream in self.upstreams if upstream.rate_limit is None),
+            self.upstreams[0],
         )
 
 
@@ -170,9 +166,6 @@
             if upstream.is_limit_spent():
                 # Requests don't wait for a limit while another upstream has room.
                 continue
-            if upstream.pace is not None and not self.has_room(upstream):
-                # Nor do they wait for an upstream that is paced.
-                continue
             is_preferred = is_first or upstream.remembers(candidates.object_name)
             if self.has_room(upstream):
                 if is_preferred or not candidates.object_name:
@@ -225,12 +218,8 @@
         return self._upstream_table.is_usable(upstream)
 
     def is_warm(self, upstream: UpstreamState) -> bool:
-        """Return whether an upstream may get requests, isn't cold and has pace left."""
-        return (
-            self._upstream_table.is_usable(upstream)
-            and not upstream.is_cold()
-            and upstream.has_pace_room()
-        )
+        """Return whether an upstream may get requests and isn't cold."""
+        return self._upstream_table.is_usable(upstream) and not upstream.is_cold()
 
     def has_room(self, upstream: UpstreamState) -> bool:
         """Return whether an upstream has a free slot, as far as this VM knows."""
@@ -238,7 +227,6 @@
             self._upstream_table.is_usable(upstream)
             and not upstream.is_limit_spent()
             and upstream.load() < upstream.record.slots
-            and upstream.has_pace_room()
         )
 
 
--- a/lagoonlatch/steering/slots.py
+++ b/lagoonlatch/steering/slots.py
@@ -17,7 +17,6 @@
 from typing import TypeAlias
 
 from lagoonlatch.clock import Clock, Millis
-from lagoonlatch.steering.pacing import HomePacing
 from lagoonlatch.steering.rate_limits import NamedLimit, UpstreamRateLimiter
 
 Priority: TypeAlias = tuple[int, int]
@@ -186,8 +185,6 @@
         Returns the number of slots of an upstream; None if the upstream is unknown.
     rate_limiter : UpstreamRateLimiter
         Keeps the rate limits of the upstreams.
-    pacing : HomePacing, optional
-        Bounds the requests at upstreams that have just started or recovered.
     """
 
     def __init__(
@@ -195,9 +192,7 @@
         slots_of: Callable[[str], int | None],
         rate_limiter: UpstreamRateLimiter,
         clock: Clock,
-        pacing: HomePacing | None = None,
     ) -> None:
-        self._pacing = pacing
         self._slots_of = slots_of
         self._rate_limiter = rate_limiter
         self._clock = clock
@@ -218,30 +213,22 @@
         )
         occupied = others + allocation.count_offers(claim.vm) + claim.held
         limit = self._rate_limiter.limit_of(claim.upstream)
-        capacity = self._capacity(claim.upstream, others + claim.held - 1)
-        has_slot = capacity is None or occupied <= capacity
+        has_slot = slots is None or occupied <= slots + UPSTREAM_QUEUE_DEPTH
         if has_slot and self._take_token(allocation, claim, now):
             allocation.remove_offer(claim.vm, claim.ticket)
             allocation.refused_claim_by_request.pop(request_key, None)
             allocation.count_by_vm[claim.vm] = _Count(claim.held, now + COUNT_LIFETIME)
-            self._note_count(claim.upstream, claim.vm, claim.held)
             return ClaimAnswer(True, others, ahead, limit)
         limit_wait = self._rate_limiter.wait(claim.upstream)
         allocation.refused_claim_by_request[request_key] = _RefusedClaim(
             claim.vm, order, now + REFUSED_CLAIM_LIFETIME
         )
-        reported = occupied - claim.held
-        if capacity is not None and capacity < slots + UPSTREAM_QUEUE_DEPTH:
-            # The slots that the pace holds back count as taken; otherwise the VM would
-            # claim one again at once.
-            reported = max(reported, slots)
-        return ClaimAnswer(False, reported, ahead, limit, limit_wait)
+        return ClaimAnswer(False, occupied - claim.held, ahead, limit, limit_wait)
 
     def set_count(self, vm: str, upstream_id: str, in_flight: int) -> None:
         """Set the number of requests that a VM has at an upstream."""
         now = self._clock.now()
         allocation = self._current_allocation(upstream_id, now)
-        self._note_count(upstream_id, vm, in_flight)
         if in_flight > 0:
             allocation.count_by_vm[vm] = _Count(in_flight, now + COUNT_LIFETIME)
         else:
@@ -262,13 +249,15 @@
         """
         now = self._clock.now()
         allocation = self._current_allocation(upstream_id, now)
-        if not allocation.refused_claim_by_request:
-            return []
-        in_flight = allocation.in_flight_of_others("")
-        capacity = self._capacity(upstream_id, in_flight)
-        if capacity is None:
+        slots = self._slots_of(upstream_id)
+        if slots is None or not allocation.refused_claim_by_request:
             return []
-        free = capacity - in_flight - len(allocation.offers)
+        free = (
+            slots
+            + UPSTREAM_QUEUE_DEPTH
+            - allocation.in_flight_of_others("")
+            - len(allocation.offers)
+        )
         chosen = []
         for request_key, refused_claim in sorted(
             allocation.refused_claim_by_request.items(), key=lambda item: item[1].order
@@ -308,19 +297,6 @@
             if self._current_allocation(upstream_id, now).is_empty():
                 del self._allocation_by_upstream[upstream_id]
 
-    def _capacity(self, upstream_id: str, in_flight: int) -> int | None:
-        """Return how many requests an upstream may get; None if it is unknown."""
-        slots = self._slots_of(upstream_id)
-        if slots is None:
-            return None
-        capacity = slots + UPSTREAM_QUEUE_DEPTH
-        bound = self._pacing and self._pacing.bound(upstream_id, in_flight)
-        return capacity if bound is None else min(capacity, bound)
-
-    def _note_count(self, upstream_id: str, vm: str, in_flight: int) -> None:
-        if self._pacing is not None:
-            self._pacing.note_count(upstream_id, vm, in_flight)
-
     def _current_allocation(self, upstream_id: str, now: Millis) -> _UpstreamAllocation:
         allocation = self._allocation_by_upstream.get(upstream_id)
         if allocation is None:
--- a/lagoonlatch/steering/upstreams.py
+++ b/lagoonlatch/steering/upstreams.py
@@ -9,7 +9,6 @@
 
 from lagoonlatch.clock import MILLIS_PER_SECOND, Clock, Millis
 from lagoonlatch.steering.model import Service, UpstreamRecord
-from lagoonlatch.steering.pacing import HomePace, UpstreamPace
 from lagoonlatch.steering.rate_limits import MIN_RATE, NamedLimit
 
 REPORTED_LOAD_LIFETIME: Millis = 300.0
@@ -54,10 +53,6 @@
         Whether it has announced directly, to this or another VM, that it is about to
         stop. This holds until the end of its run, even if its entry in the store
         doesn't say so.
-    pace : UpstreamPace or None
-        Bound on this VM's requests after a start or a suspicion.
-    home_pace : HomePace or None
-        Bound on the requests of all VMs that applies while this VM is the home VM.
     """
 
     def __init__(
@@ -74,9 +69,6 @@
         self.is_suspect = False
         self.is_removed = False
         self.is_leaving = False
-        self.pace: UpstreamPace | None = None
-        self.home_pace: HomePace | None = None
-        self._paced_since: Millis = -math.inf
         self._limit: NamedLimit | None = None
         self._limit_named_at: Millis = -math.inf
         self._limit_confirmed_at: Millis = -math.inf
@@ -276,64 +268,13 @@
         return self._limit_named_at < sent_at and self._epoch_known_at <= sent_at
 
     def set_cold(self, duration: Millis) -> None:
-        """Treat the upstream as cold for at least `duration`, and pace it."""
-        if duration > 0.0 and self.pace is None and not self.is_cold():
-            self._start_pace()
+        """Treat the upstream as cold for at least `duration`."""
         self._cold_until = max(self._cold_until, self._clock.now() + duration)
 
     def clear_suspicion(self, cold_left: Millis) -> None:
         """End the suspicion after a health check, which reported `cold_left`."""
         self.is_suspect = False
         self._cold_until = self._clock.now() + cold_left
-        self._start_pace()
-
-    def has_pace_room(self) -> bool:
-        """Return whether the pace allows this VM another request."""
-        if self.pace is None:
-            return True
-        if self.in_flight < self.pace.limit:
-            return True
-        # Of several waiting requests, only one may use the end of an idle period.
-        return not self.unanswered_claims and (
-            self.in_flight < self.pace.bound(self.in_flight)
-        )
-
-    def note_sent(self) -> None:
-        """Record that this VM sends a request."""
-        if self.pace is not None:
-            self.pace.note_sent()
-
-    def take_ended_paces(self, last_traffic_at: Millis) -> list[UpstreamPace]:
-        """Remove the paces that have ended, and return them.
-
-        An upstream that has become warm before there was any traffic isn't paced: when
-        a fleet starts, all its upstreams would be paced at the first requests.
-
-        Parameters
-        ----------
-        last_traffic_at : Millis
-            When this VM last had a request for the service.
-        """
-        has_warmed_up = not self.is_cold() and self._cold_until > self._paced_since
-        if has_warmed_up and last_traffic_at < self._paced_since:
-            self.pace = self.home_pace = None
-            return []
-        ended: list[UpstreamPace] = []
-        if self.pace is not None and self._is_over(self.pace):
-            ended.append(self.pace)
-            self.pace = None
-        if self.home_pace is not None and self._is_over(self.home_pace):
-            ended.append(self.home_pace)
-            self.home_pace = None
-        return ended
-
-    def _start_pace(self) -> None:
-        self._paced_since = self._clock.now()
-        self.pace = UpstreamPace(self.record.slots, self._clock)
-        self.home_pace = HomePace(self.record.slots, self._clock)
-
-    def _is_over(self, pace: UpstreamPace) -> bool:
-        return pace.is_ended or pace.is_unused(self._cold_until)
 
 
 class UpstreamTable:
@@ -355,7 +296,6 @@
         self._states_by_id: dict[str, UpstreamState] = {}
         self._states_by_service: dict[str, dict[str, UpstreamState]] = defaultdict(dict)
         self._services_by_id: Mapping[str, Service] = {}
-        self._last_traffic_by_service: dict[str, Millis] = {}
         self._evacuated: frozenset[str] = frozenset()
         # Start time and time of removal of each recently removed upstream.
         self._removed_run_by_id: dict[str, tuple[float, Millis]] = {}
@@ -450,25 +390,6 @@
             state.rate_limit is not None for state in self._states_by_id.values()
         )
 
-    def paced_count(self) -> int:
-        """Return how many upstreams are paced."""
-        return sum(state.pace is not None for state in self._states_by_id.values())
-
-    def note_traffic(self, service: str) -> None:
-        """Record that this VM has a request for a service."""
-        self._last_traffic_by_service[service] = self._clock.now()
-
-    def take_ended_paces(self) -> list[tuple[str, UpstreamPace]]:
-        """Remove the paces that have ended; return them with their upstreams' ids."""
-        return [
-            (upstream_id, pace)
-            for upstream_id, state in self._states_by_id.items()
-            if state.pace is not None or state.home_pace is not None
-            for pace in state.take_ended_paces(
-                self._last_traffic_by_service.get(state.record.service, -math.inf)
-            )
-        ]
-
     def evacuate(self, data_centres: frozenset[str]) -> None:
         """Send nothing to `data_centres`; treat those no longer evacuated as cold."""
         for state in self._states_by_id.values():
--- a/tests/entry/test_attempts.py
+++ b/tests/entry/test_attempts.py
@@ -24,7 +24,6 @@
 from lagoonlatch.standins.manual_clock import ManualClock
 from lagoonlatch.steering.admission import Admission
 from lagoonlatch.steering.crashes import CrashQuarantine
-from lagoonlatch.steering.pacing import WarmDurations
 from tests.steering.samples import make_record, make_upstream_table
 
 REQUEST = UpstreamRequest(
@@ -138,7 +137,6 @@
                 lambda *report: self.limit_reports.append(report),
             ),
             EntryMetrics("vm-0", "n-a"),
-            WarmDurations(),
             self.clock,
         )
 
@@ -399,29 +397,3 @@
     harness.run()
     assert harness.quarantine.count("f") == 0
     assert harness.reported == ["f", "f"]
-
-
-@pytest.mark.parametrize(
-    ("answer", "limit", "decreases"),
-    [
-        ((200, []), 2, 0),
-        ((404, []), 2, 0),
-        ((500, []), 0, 1),
-        ((429, []), 0, 1),
-        ("reset", 0, 1),
-    ],
-)
-def test_outcomes_of_attempts_set_the_pace(harness, answer, limit, decreases):
-    harness.upstream.clear_suspicion(0.0)
-    harness.answer = answer
-    harness.run()
-    pace = harness.upstream.pace
-    assert (pace.limit, pace.decreases) == (limit, decreases)
-
-
-def test_request_of_a_caller_that_leaves_does_not_lower_the_pace(harness):
-    harness.upstream.clear_suspicion(0.0)
-    request = make_cancellable(True)
-    request.cancellation.cancel()
-    harness.run(request)
-    assert harness.upstream.pace.limit == 1
--- a/tests/entry/test_slots.py
+++ b/tests/entry/test_slots.py
@@ -322,15 +322,3 @@
     net.vm_by_id[vm].release(net.state(vm))
     gevent.sleep(0.02)
     assert net.offered_vms == [other]
-
-
-def test_claims_at_a_silent_home_vm_stay_within_the_pace():
-    """Unanswered claims count as granted, so they must not pass the pace together."""
-    net = Network(slots=5)
-    vm = net.others()[0]
-    net.state(vm).clear_suspicion(0.0)
-    net.is_lost = lambda sender, receiver: True
-    tasks = [gevent.spawn(net.claim, vm, ticket) for ticket in range(4)]
-    gevent.joinall(tasks)
-    assert [task.value for task in tasks] == [True, False, False, False]
-    assert net.state(vm).in_flight == 1
